Serve a job from end to end through separate processes

Cause: nothing existed. Ruled out: a cell for each availability zone, because a gang of 128 does not fit a zone of about a hundred accelerators; cells are groups of zones named by the configuration. Generated messages between nodes, because grpc-go with a CBOR codec lets the domain types check themselves.

Change: callers post jobs to any node, the cell's owner makes them durable with their key, reserves, commits and starts gangs, and returns the whole answer. Settings, folder, ledger, ownership, heartbeats, short requests, command line and stand-ins are in place; the proofs are not.

Conclusion: the frame stands; decisions and failures come next.

--- /dev/null
+++ b/internal/boot/boot.go
@@ -0,0 +1,236 @@
+package boot
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+	"google.golang.org/grpc"
+
+	"greengageline/internal/caller"
+	"greengageline/internal/cell"
+	"greengageline/internal/config"
+	"greengageline/internal/event"
+	"greengageline/internal/ledger"
+	"greengageline/internal/meter"
+	"greengageline/internal/node"
+	"greengageline/internal/object"
+	"greengageline/internal/oper"
+	"greengageline/internal/peer"
+	"greengageline/internal/setup"
+	"greengageline/internal/table"
+	"greengageline/internal/vmlist"
+	"greengageline/internal/wire"
+	"greengageline/internal/worker"
+)
+
+// LogWriter is where a node's log lines go.
+type LogWriter struct{ io.Writer }
+
+// Provide registers every part of a node with the injector, which must hold
+// the Settings and the LogWriter.
+func Provide(i do.Injector) {
+	do.Provide(i, provideLog)
+	do.Provide(i, provideTable)
+	do.Provide(i, provideMeter)
+	do.Provide(i, provideHost)
+	do.Provide(i, provideNode)
+}
+
+func provideLog(i do.Injector) (*event.Log, error) {
+	s := do.MustInvoke[setup.Settings](i)
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	return event.New(do.MustInvoke[LogWriter](i), s.Node, level), nil
+}
+
+func provideTable(i do.Injector) (*table.Table, error) {
+	s := do.MustInvoke[setup.Settings](i)
+	return &table.Table{Wire: &wire.Client{Addr: s.Platform}}, nil
+}
+
+func provideMeter(i do.Injector) (*meter.Meter, error) {
+	tab := do.MustInvoke[*table.Table](i)
+	log := do.MustInvoke[*event.Log](i)
+	m, err := meter.New(func() []meter.Gauges { return do.MustInvoke[*node.Node](i).Gauges() })
+	if err != nil {
+		return nil, err
+	}
+	var down atomic.Bool
+	tab.Observe = func(op string, took time.Duration, err error) {
+		unknown := errors.Is(err, table.ErrUnknown)
+		m.Table(op, took, unknown)
+		if unknown {
+			log.Emit(event.TableUnknown).Str("op", op).Err(err).Send()
+		}
+		noteTable(log, &down, op, err)
+	}
+	return m, nil
+}
+
+// noteTable logs once that the table fails, and once that it answers again.
+func noteTable(log *event.Log, down *atomic.Bool, op string, err error) {
+	failed := err != nil && !errors.Is(err, table.ErrConflict)
+	switch {
+	case failed && down.CompareAndSwap(false, true):
+		log.Emit(event.TableDown).Str("op", op).Err(err).Send()
+	case !failed && down.CompareAndSwap(true, false):
+		log.Emit(event.TableBack).Str("op", op).Send()
+	}
+}
+
+func provideHost(i do.Injector) (*cell.Host, error) {
+	s := do.MustInvoke[setup.Settings](i)
+	tab := do.MustInvoke[*table.Table](i)
+	return &cell.Host{
+		Table:   tab,
+		Ledger:  &ledger.Ledger{Table: tab},
+		Workers: &worker.Pool{},
+		Objects: &object.Store{Wire: &wire.Client{Addr: s.Platform}},
+	}, nil
+}
+
+func provideNode(i do.Injector) (*node.Node, error) {
+	s := do.MustInvoke[setup.Settings](i)
+	n := &node.Node{
+		Settings: s,
+		Host:     do.MustInvoke[*cell.Host](i),
+		Config: &config.Store{
+			Table: do.MustInvoke[*table.Table](i),
+			NowMs: func() int64 { return time.Now().UnixMilli() },
+		},
+		VMList: &vmlist.List{Wire: &wire.Client{Addr: s.Platform}},
+		Log:    do.MustInvoke[*event.Log](i),
+		Meter:  do.MustInvoke[*meter.Meter](i),
+	}
+	n.Prepare()
+	return n, nil
+}
+
+// Process is a running node with its servers.
+type Process struct {
+	Node *node.Node
+
+	settings setup.Settings
+	app      *fiber.App
+	rpc      *grpc.Server
+	stopAsk  chan struct{}
+	stopOnce sync.Once
+	cancel   context.CancelFunc
+	done     chan struct{}
+	failed   chan error
+}
+
+// Start checks the settings, opens the node's addresses and serves.
+func Start(s setup.Settings, log io.Writer) (*Process, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, LogWriter{log})
+	Provide(i)
+	n, err := do.Invoke[*node.Node](i)
+	if err != nil {
+		return nil, fmt.Errorf("build node: %w", err)
+	}
+	p := &Process{
+		Node: n, settings: s, stopAsk: make(chan struct{}),
+		done: make(chan struct{}), failed: make(chan error, 2),
+	}
+	return p, p.serve()
+}
+
+func (p *Process) serve() error {
+	callers, err := net.Listen("tcp", p.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	peers, err := net.Listen("tcp", p.settings.PeerListen)
+	if err != nil {
+		_ = callers.Close()
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	p.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true, BodyLimit: p.settings.MaxBody, Immutable: true,
+		ErrorHandler: answerError,
+	})
+	(&caller.API{Node: p.Node}).Mount(p.app)
+	(&oper.API{Node: p.Node, Stop: p.AskStop}).Mount(p.app)
+	p.rpc = peer.NewServer(p.Node.Handlers())
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() { p.failed <- p.app.Listener(callers) }()
+	go func() { p.failed <- p.rpc.Serve(peers) }()
+	go func() {
+		defer close(p.done)
+		p.Node.Run(ctx)
+	}()
+	return nil
+}
+
+// answerError gives errors of the HTTP layer the form of all others.
+func answerError(c *fiber.Ctx, err error) error {
+	p := caller.Problem{Error: "http", Message: err.Error(), Ran: "no", Next: "correct the request"}
+	status := fiber.StatusInternalServerError
+	var httpErr *fiber.Error
+	if errors.As(err, &httpErr) {
+		status = httpErr.Code
+	}
+	if status == fiber.StatusRequestEntityTooLarge {
+		p.Error, p.Next = "too-large", "send a smaller body, or keep large data in the object store"
+	}
+	return c.Status(status).JSON(p)
+}
+
+// AskStop begins a planned stop; StopAsked tells it to who waits.
+func (p *Process) AskStop() { p.stopOnce.Do(func() { close(p.stopAsk) }) }
+
+// StopAsked is closed once a planned stop was asked for.
+func (p *Process) StopAsked() <-chan struct{} { return p.stopAsk }
+
+// Failed delivers the error of a server that ended by itself.
+func (p *Process) Failed() <-chan error { return p.failed }
+
+// Stop performs a planned stop within the drain limit and reports whether all
+// requests in progress were finished.
+func (p *Process) Stop() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainLimit)
+	defer cancel()
+	clean := p.Node.Drain(ctx)
+	_ = p.app.ShutdownWithContext(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		p.rpc.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		p.rpc.Stop()
+	}
+	p.cancel()
+	<-p.done
+	p.Node.Log.Emit(event.NodeStopped).Bool("clean", clean).Send()
+	return clean
+}
+
+// Kill ends the process's parts at once, as a crash would; tests and the demo
+// use it.
+func (p *Process) Kill() {
+	p.rpc.Stop()
+	p.Node.Kill()
+	p.cancel()
+	_ = p.app.ShutdownWithTimeout(time.Millisecond)
+	<-p.done
+}
--- /dev/null
+++ b/internal/cmds/look.go
@@ -0,0 +1,134 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"greengageline/internal/node"
+	"greengageline/internal/oper"
+	"greengageline/internal/place"
+)
+
+func (a *app) status(ctx context.Context, addr string) (node.Status, error) {
+	var s node.Status
+	c := a.client()
+	if addr != "" {
+		c.Addrs = []string{addr}
+	}
+	err := c.Do(ctx, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
+}
+
+func (a *app) workspace() *ffcli.Command {
+	fs := a.clientFlags("workspace")
+	return command("workspace", "workspace [flags]", "print guarantees against use",
+		"Shows the cells that the asked nodes own, so name all entry nodes.\n\nExample:\n  greengageline workspace -nodes 10.0.0.1:7000,10.0.0.2:7000", fs,
+		func(ctx context.Context, _ []string) error {
+			all := []place.WorkspaceStats{}
+			for _, addr := range strings.Split(a.addrs, ",") {
+				s, err := a.status(ctx, addr)
+				if err != nil {
+					fmt.Fprintf(a.err, "%s: %v\n", addr, err)
+					continue
+				}
+				all = append(all, s.Workspaces...)
+			}
+			return a.print(all, func() string { return workspaceText(all) })
+		})
+}
+
+func workspaceText(all []place.WorkspaceStats) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-24s %10s %8s %8s %8s %8s\n", "workspace", "guaranteed", "in use", "borrowed", "queued", "at risk")
+	for _, w := range all {
+		fmt.Fprintf(&b, "%-24s %10d %8d %8d %8d %8d\n", w.Name, w.Guaranteed, w.InUse, w.Borrowed, w.Queued, w.AtRisk)
+	}
+	return b.String()
+}
+
+func (a *app) node() *ffcli.Command {
+	return group("node", "list or drain entry nodes", a.nodeList(), a.nodeDrain())
+}
+
+func (a *app) nodeList() *ffcli.Command {
+	fs := a.clientFlags("list")
+	return command("list", "node list [flags]", "print nodes, cells and owners",
+		"Example:\n  greengageline node list -json", fs,
+		func(ctx context.Context, _ []string) error {
+			s, err := a.status(ctx, "")
+			if err != nil {
+				return err
+			}
+			return a.print(s, func() string { return nodesText(s) })
+		})
+}
+
+func nodesText(s node.Status) string {
+	var b strings.Builder
+	for _, n := range s.Nodes {
+		fmt.Fprintf(&b, "node %-12s %-22s zone %-16s generation %d", n.Node, n.Addr, n.Zone, n.Generation)
+		if n.Draining {
+			b.WriteString(" draining")
+		}
+		b.WriteString("\n")
+	}
+	for _, c := range s.Cells {
+		fmt.Fprintf(&b, "cell %-12s owner %s epoch %d\n", c.Cell, c.Owner, c.Epoch)
+	}
+	return b.String()
+}
+
+func (a *app) nodeDrain() *ffcli.Command {
+	fs := a.clientFlags("drain")
+	limit := fs.Duration("timeout", time.Minute, "how long to wait until the node has stopped")
+	return command("drain", "node drain [flags] ADDR", "stop one entry node gracefully",
+		"ADDR is the node's address for callers.\n\nExample:\n  greengageline node drain 10.0.0.3:7000", fs,
+		func(ctx context.Context, args []string) error {
+			addr, err := oneArg(args, "node address")
+			if err != nil {
+				return err
+			}
+			return a.runDrain(ctx, addr, *limit)
+		})
+}
+
+func (a *app) runDrain(ctx context.Context, addr string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	a.addrs = addr
+	if err := a.client().Do(ctx, http.MethodPost, "/v1/drain", nil, nil); err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if _, err := a.status(ctx, addr); err != nil {
+			return a.print(map[string]string{"stopped": addr}, func() string { return addr + " has stopped" })
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return fmt.Errorf("%s is still draining after %s", addr, limit)
+}
+
+func (a *app) explain() *ffcli.Command {
+	fs := a.clientFlags("explain")
+	return command("explain", "explain [flags] ID", "tell what happened to a job and why",
+		"Example:\n  greengageline explain viti.0199-...", fs,
+		func(ctx context.Context, args []string) error {
+			id, err := oneArg(args, "job id")
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+			defer cancel()
+			var e oper.Explanation
+			if err := a.client().Do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/explain", nil, &e); err != nil {
+				return err
+			}
+			return a.print(e, func() string { return strings.Join(e.Lines, "\n") })
+		})
+}
--- /dev/null
+++ b/internal/cmds/main.go
@@ -0,0 +1,141 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"greengageline/internal/setup"
+	"greengageline/pkg/client"
+	"greengageline/pkg/model"
+)
+
+// Exit codes of every subcommand.
+const (
+	exitDone    = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitRefused = 3
+	exitUnknown = 4
+)
+
+// errUsage marks a command line that can't be understood.
+var errUsage = errors.New("wrong use")
+
+func usagef(format string, args ...any) error {
+	return fmt.Errorf("%w: "+format, append([]any{errUsage}, args...)...)
+}
+
+// app is what the subcommands share.
+type app struct {
+	in       io.Reader
+	out, err io.Writer
+	addrs    string
+	json     bool
+}
+
+// Main runs one command line and returns the exit code.
+func Main(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	a := &app{in: in, out: out, err: errOut}
+	root := a.root()
+	err := root.ParseAndRun(ctx, args)
+	if err == nil {
+		return exitDone
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		return exitUsage
+	}
+	fmt.Fprintf(errOut, "greengageline: %v\n", err)
+	return codeOf(err)
+}
+
+func codeOf(err error) int {
+	var p *client.Problem
+	switch {
+	case errors.Is(err, errUsage), errors.Is(err, setup.ErrInvalid):
+		return exitUsage
+	case errors.Is(err, client.ErrNotKnown):
+		return exitUnknown
+	case errors.As(err, &p) && p.Ran == "no":
+		return exitRefused
+	case errors.Is(err, model.ErrInvalid):
+		return exitRefused
+	}
+	return exitFailed
+}
+
+func (a *app) root() *ffcli.Command {
+	return &ffcli.Command{
+		ShortUsage: "greengageline <subcommand> [flags]",
+		ShortHelp:  "schedules multi-accelerator jobs under workspace guarantees",
+		LongHelp:   "Start with: greengageline demo",
+		FlagSet:    flag.NewFlagSet("greengageline", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			a.serve(), a.check(), a.config(), a.submit(), a.job(), a.workspace(),
+			a.node(), a.explain(), a.demo(), a.stand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+// command makes a subcommand whose flags may also come from the environment.
+func command(name, usage, short, long string, fs *flag.FlagSet, exec func(context.Context, []string) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortUsage: "greengageline " + usage, ShortHelp: short, LongHelp: long,
+		FlagSet: fs, Options: []ff.Option{ff.WithEnvVarPrefix(setup.EnvPrefix)}, Exec: exec,
+	}
+}
+
+// clientFlags adds the flags of subcommands that talk to the entry nodes.
+func (a *app) clientFlags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.StringVar(&a.addrs, "nodes", "127.0.0.1:7000", "addresses of entry nodes, separated by commas")
+	fs.BoolVar(&a.json, "json", false, "print JSON")
+	return fs
+}
+
+func (a *app) client() *client.Client {
+	return &client.Client{Addrs: strings.Split(a.addrs, ",")}
+}
+
+// print writes v as JSON if asked, else what text returns.
+func (a *app) print(v any, text func() string) error {
+	if !a.json {
+		_, err := fmt.Fprintln(a.out, strings.TrimRight(text(), "\n"))
+		return err
+	}
+	enc := json.NewEncoder(a.out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return fmt.Errorf("print JSON: %w", err)
+	}
+	return nil
+}
+
+// group makes a command that only has subcommands.
+func group(name, short string, subs ...*ffcli.Command) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortUsage: "greengageline " + name + " <subcommand>", ShortHelp: short,
+		Subcommands: subs, FlagSet: flag.NewFlagSet(name, flag.ContinueOnError),
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func oneArg(args []string, what string) (string, error) {
+	if len(args) != 1 {
+		return "", usagef("want one %s, got %d arguments", what, len(args))
+	}
+	return args[0], nil
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,142 @@
+package event
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// ID is the number of an event.
+type ID int
+
+// Meaning describes an event in the catalogue.
+type Meaning struct {
+	ID    ID
+	Name  string
+	Level zerolog.Level
+	Doc   string
+}
+
+// The events, by subject: 1xx node, 2xx cell ownership, 3xx jobs, 4xx
+// placement, 5xx requests, 6xx configuration, 7xx platform and workers.
+const (
+	NodeStarted    ID = 101
+	NodeDraining   ID = 102
+	NodeStopped    ID = 103
+	PeerSuspected  ID = 110
+	PeerBack       ID = 111
+	NodeStale      ID = 120
+	NodeFresh      ID = 121
+	CellTaken      ID = 201
+	CellRebuilt    ID = 202
+	CellLost       ID = 203
+	CellReleased   ID = 204
+	CellHeld       ID = 205
+	CellResumed    ID = 206
+	JobAccepted    ID = 301
+	JobRepeated    ID = 302
+	JobRefused     ID = 303
+	JobEnded       ID = 304
+	JobUnknown     ID = 305
+	JobRequeued    ID = 306
+	JobCancelled   ID = 307
+	JobNotYetKnown ID = 308
+	Placed         ID = 401
+	Evicted        ID = 402
+	Held           ID = 403
+	HoldReleased   ID = 404
+	Quarantined    ID = 405
+	Readmitted     ID = 406
+	AtRisk         ID = 407
+	RiskOver       ID = 408
+	GangIncomplete ID = 409
+	RequestRouted  ID = 501
+	RequestRetried ID = 502
+	RequestFailed  ID = 503
+	ConfigAccepted ID = 601
+	ConfigRefused  ID = 602
+	ConfigInForce  ID = 603
+	TableUnknown   ID = 701
+	TableDown      ID = 702
+	TableBack      ID = 703
+	WorkerLeaving  ID = 710
+	WorkerGone     ID = 711
+	WorkerBack     ID = 712
+	WorkerSilent   ID = 713
+	BadVM          ID = 714
+	ObjectDown     ID = 720
+)
+
+// Catalogue lists every event once, in order of its number.
+var Catalogue = []Meaning{
+	{NodeStarted, "node-started", zerolog.InfoLevel, "The process serves callers and peers."},
+	{NodeDraining, "node-draining", zerolog.InfoLevel, "A planned stop began: readiness is off, cells are handed over, requests in progress are finished."},
+	{NodeStopped, "node-stopped", zerolog.InfoLevel, "The process ends; the line says whether everything in progress was finished."},
+	{PeerSuspected, "peer-suspected", zerolog.WarnLevel, "Heartbeats to a peer failed on a fresh connection too."},
+	{PeerBack, "peer-back", zerolog.InfoLevel, "A suspected peer answers again."},
+	{NodeStale, "node-stale", zerolog.ErrorLevel, "The node can't show that its configuration is fresh and starts nothing until it can."},
+	{NodeFresh, "node-fresh", zerolog.InfoLevel, "The configuration is shown to be fresh again."},
+	{CellTaken, "cell-taken", zerolog.InfoLevel, "This node became the owner of a cell at a new epoch."},
+	{CellRebuilt, "cell-rebuilt", zerolog.InfoLevel, "The owner has read the cell's jobs and decides from now on."},
+	{CellLost, "cell-lost", zerolog.WarnLevel, "Another node owns the cell at a newer epoch."},
+	{CellReleased, "cell-released", zerolog.InfoLevel, "The owner gave the cell up so that another can take it at once."},
+	{CellHeld, "cell-held", zerolog.WarnLevel, "The owner could not renew its lease: it keeps running work alive and decides nothing."},
+	{CellResumed, "cell-resumed", zerolog.InfoLevel, "The owner renewed its lease again and decides."},
+	{JobAccepted, "job-accepted", zerolog.InfoLevel, "A job is durable."},
+	{JobRepeated, "job-repeated", zerolog.InfoLevel, "A caller repeated a request with a known key and got the same job."},
+	{JobRefused, "job-refused", zerolog.InfoLevel, "A job did not run and will not."},
+	{JobEnded, "job-ended", zerolog.InfoLevel, "A job reached its end."},
+	{JobUnknown, "job-unknown", zerolog.ErrorLevel, "A job that must not run twice may have run, and nobody can tell."},
+	{JobRequeued, "job-requeued", zerolog.InfoLevel, "A job goes back to the queue."},
+	{JobCancelled, "job-cancelled", zerolog.InfoLevel, "A caller's cancel won."},
+	{JobNotYetKnown, "job-not-yet-known", zerolog.WarnLevel, "A caller was told to ask again with the same key."},
+	{Placed, "placed", zerolog.InfoLevel, "A placement was decided; the line gives mode, workers and reason."},
+	{Evicted, "evicted", zerolog.InfoLevel, "A job is stopped to give its places back; the line gives the reason."},
+	{Held, "held", zerolog.InfoLevel, "Places are held for a blocked gang."},
+	{HoldReleased, "hold-released", zerolog.InfoLevel, "Held places are given up."},
+	{Quarantined, "quarantined", zerolog.WarnLevel, "A worker gets no work for a while because jobs fail on it."},
+	{Readmitted, "readmitted", zerolog.InfoLevel, "A worker succeeded on probation."},
+	{AtRisk, "guarantee-at-risk", zerolog.ErrorLevel, "Part of a guaranteed shape can't be formed; the line gives workspace and amount."},
+	{RiskOver, "guarantee-whole", zerolog.InfoLevel, "A guaranteed shape that was at risk can be formed again."},
+	{GangIncomplete, "gang-incomplete", zerolog.WarnLevel, "Not every member of a gang started; all are stopped."},
+	{RequestRouted, "request-routed", zerolog.DebugLevel, "A short request was sent to a target; the line gives the reason."},
+	{RequestRetried, "request-retried", zerolog.InfoLevel, "An idempotent request goes to another target."},
+	{RequestFailed, "request-failed", zerolog.WarnLevel, "A short request got no answer; the line says whether it may have run."},
+	{ConfigAccepted, "config-accepted", zerolog.InfoLevel, "A new generation of the configuration is durable."},
+	{ConfigRefused, "config-refused", zerolog.InfoLevel, "A change of the configuration was refused."},
+	{ConfigInForce, "config-in-force", zerolog.InfoLevel, "This node applies a generation."},
+	{TableUnknown, "table-unknown", zerolog.WarnLevel, "The outcome of a transaction could not be settled in time."},
+	{TableDown, "table-down", zerolog.WarnLevel, "Reads or writes of the table fail; the line is written once until it answers again."},
+	{TableBack, "table-back", zerolog.InfoLevel, "The table answers again."},
+	{WorkerLeaving, "worker-leaving", zerolog.InfoLevel, "A worker gets nothing new; the line says who told."},
+	{WorkerGone, "worker-gone", zerolog.WarnLevel, "A worker is taken as lost."},
+	{WorkerBack, "worker-back", zerolog.InfoLevel, "A worker joined or came back."},
+	{WorkerSilent, "worker-silent", zerolog.WarnLevel, "Renewals to a worker fail."},
+	{BadVM, "bad-vm-entry", zerolog.WarnLevel, "An entry of the VM list failed its checks and is ignored."},
+	{ObjectDown, "object-store-down", zerolog.WarnLevel, "An answer could not be written to the object store and is kept by its worker."},
+}
+
+// Log writes numbered events; the zero value writes nothing.
+type Log struct {
+	logger *zerolog.Logger
+	byID   map[ID]Meaning
+}
+
+// New returns a Log that writes JSON lines from level on to w with the node's name.
+func New(w io.Writer, node string, level zerolog.Level) *Log {
+	logger := zerolog.New(w).Level(level).With().Timestamp().Str("node", node).Logger()
+	byID := map[ID]Meaning{}
+	for _, m := range Catalogue {
+		byID[m.ID] = m
+	}
+	return &Log{logger: &logger, byID: byID}
+}
+
+// Emit starts a line for the event; the caller adds fields and calls Send.
+func (l *Log) Emit(id ID) *zerolog.Event {
+	if l == nil || l.logger == nil {
+		return nil
+	}
+	m := l.byID[id]
+	return l.logger.WithLevel(m.Level).Int("event", int(id)).Str("name", m.Name)
+}
--- /dev/null
+++ b/internal/ledger/call.go
@@ -0,0 +1,93 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+
+	"greengageline/internal/table"
+	"greengageline/pkg/model"
+)
+
+// CallState is where a non-idempotent request stands.
+type CallState string
+
+// A call is sent before it is passed on; it ends as done, or as did-not-run
+// when every target truthfully refused it.
+const (
+	CallSent      CallState = "sent"
+	CallDone      CallState = "done"
+	CallDidNotRun CallState = "did-not-run"
+)
+
+// Call is the row of a non-idempotent request.
+type Call struct {
+	State  CallState     `json:"state"`
+	Hash   uint64        `json:"hash"`
+	Target string        `json:"target,omitempty"`
+	Answer *model.Answer `json:"answer,omitempty"`
+	AtMs   int64         `json:"at_ms"`
+}
+
+// CallEntry is a call with the row that holds it.
+type CallEntry struct {
+	Call Call
+	Row  table.Row
+}
+
+func callKey(s model.RequestSpec) string { return "call/" + s.Workspace + "/" + s.Key }
+
+// BeginCall makes a non-idempotent request durable before it is sent. If its
+// key is known, repeated is true and the stored call is returned; one that
+// certainly did not run may begin again.
+func (l *Ledger) BeginCall(ctx context.Context, s model.RequestSpec, atMs int64) (e CallEntry, repeated bool, err error) {
+	call := Call{State: CallSent, Hash: hashCall(s), AtMs: atMs}
+	e, err = l.putCall(ctx, table.Row{Key: callKey(s)}, call)
+	if !errors.Is(err, table.ErrConflict) {
+		return e, false, callError(err)
+	}
+	rows, err := l.Table.Get(ctx, callKey(s))
+	if err != nil {
+		return e, false, readError(err)
+	}
+	if err := rows[0].Decode(&e.Call); err != nil {
+		return e, false, readError(err)
+	}
+	e.Row = rows[0]
+	if e.Call.Hash != call.Hash {
+		return e, true, ErrKeyReused
+	}
+	if e.Call.State != CallDidNotRun {
+		return e, true, nil
+	}
+	e, err = l.putCall(ctx, rows[0], call)
+	return e, false, callError(err)
+}
+
+func hashCall(s model.RequestSpec) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(s.Workspace + "\x00" + s.Key + "\x00")
+	_, _ = d.Write(s.Payload)
+	return d.Sum64()
+}
+
+// EndCall stores how a call ended.
+func (l *Ledger) EndCall(ctx context.Context, e CallEntry, call Call) error {
+	call.Hash = e.Call.Hash
+	_, err := l.putCall(ctx, e.Row, call)
+	return callError(err)
+}
+
+func (l *Ledger) putCall(ctx context.Context, old table.Row, call Call) (CallEntry, error) {
+	put := table.Put{Old: old, Body: call}
+	version, err := l.Table.Commit(ctx, table.Txn{Puts: []table.Put{put}})
+	return CallEntry{Call: call, Row: put.After(version)}, err
+}
+
+func callError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return writeError(err)
+}
--- /dev/null
+++ b/internal/node/jobs.go
@@ -0,0 +1,318 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"greengageline/internal/cell"
+	"greengageline/internal/ledger"
+	"greengageline/internal/peer"
+	"greengageline/internal/place"
+	"greengageline/pkg/model"
+)
+
+// retryPause separates tries to find a cell's owner.
+const retryPause = 100 * time.Millisecond
+
+// Submit passes a job to the owner of a cell, wherever that is, and tries again
+// while there is none, until ctx ends. Errors are those of package cell.
+func (n *Node) Submit(ctx context.Context, spec model.JobSpec) (model.Job, error) {
+	name, err := n.chooseCell(spec)
+	if err != nil {
+		return model.Job{}, err
+	}
+	mayBeAccepted := false
+	for {
+		job, err := n.submitOnce(ctx, name, spec)
+		if !again(err) {
+			return job, err
+		}
+		mayBeAccepted = mayBeAccepted || errors.Is(err, cell.ErrNotKnown)
+		sleep(ctx, retryPause)
+		if ctx.Err() == nil {
+			continue
+		}
+		if mayBeAccepted {
+			return job, fmt.Errorf("%w: %w", cell.ErrNotKnown, err)
+		}
+		return job, err
+	}
+}
+
+// again reports whether another try may find the cell's owner or its answer.
+// Trying again is safe: the job's key lets it be accepted once.
+func again(err error) bool {
+	return errors.Is(err, cell.ErrNotOwner) || errors.Is(err, cell.ErrNotReady) ||
+		errors.Is(err, cell.ErrNotKnown)
+}
+
+func (n *Node) submitOnce(ctx context.Context, name string, spec model.JobSpec) (model.Job, error) {
+	k := n.keeper(name)
+	if k == nil {
+		return model.Job{}, cell.ErrNotOwner
+	}
+	if o := k.Owner(); o != nil {
+		return o.Submit(ctx, spec)
+	}
+	client := n.ownerClient(k)
+	if client == nil {
+		return model.Job{}, cell.ErrNotOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.Settings.AnswerWait/2)
+	defer cancel()
+	out, err := client.Submit(ctx, &peer.SubmitIn{Cell: name, Spec: spec})
+	return fromPeer(out, err)
+}
+
+// ownerClient returns the client for the newest owner that is known, from the
+// table or from heartbeats, unless that is this node or a suspected one.
+func (n *Node) ownerClient(k *keeperRun) *peer.Client {
+	right := k.Seen()
+	for _, b := range n.mesh.live() {
+		for _, c := range b.Cells {
+			if c.Cell == k.Cell && c.Epoch > right.Epoch {
+				right = cell.Right{Owner: b.Node, Addr: b.Addr, Epoch: c.Epoch}
+			}
+		}
+	}
+	if right.Addr == "" || right.Owner == n.Settings.Node {
+		return nil
+	}
+	return n.mesh.client(right.Addr)
+}
+
+func fromPeer(out *peer.JobOut, err error) (model.Job, error) {
+	switch {
+	case errors.Is(err, peer.ErrUnreached):
+		return model.Job{}, fmt.Errorf("%w: %w", cell.ErrNotOwner, err)
+	case err != nil:
+		return model.Job{}, fmt.Errorf("%w: %w", cell.ErrNotKnown, err)
+	}
+	if out.Code == peer.CodeRefused {
+		return out.Job, &cell.RefusedError{Code: place.RefusalCode(out.Refusal), Reason: out.Message}
+	}
+	if kind := errorOf[out.Code]; kind != nil {
+		return out.Job, fmt.Errorf("%w: %s", kind, out.Message)
+	}
+	return out.Job, nil
+}
+
+var errorOf = map[peer.Code]error{
+	peer.CodeNotOwner: cell.ErrNotOwner, peer.CodeNotReady: cell.ErrNotReady,
+	peer.CodeRefused: cell.ErrRefused, peer.CodeNotKnown: cell.ErrNotKnown,
+	peer.CodeKey: cell.ErrKeyReused, peer.CodeAbsent: cell.ErrAbsent, peer.CodeBusy: cell.ErrBusy,
+	peer.CodeFailed: cell.ErrNotKnown,
+}
+
+func codeOf(err error) peer.Code {
+	for code, kind := range errorOf {
+		if code != peer.CodeFailed && errors.Is(err, kind) {
+			return code
+		}
+	}
+	return peer.CodeFailed
+}
+
+func toPeer(job model.Job, err error) *peer.JobOut {
+	if err == nil {
+		return &peer.JobOut{Job: job}
+	}
+	out := &peer.JobOut{Code: codeOf(err), Message: err.Error(), Job: job}
+	var refused *cell.RefusedError
+	if errors.As(err, &refused) {
+		out.Refusal, out.Message = string(refused.Code), refused.Reason
+	}
+	return out
+}
+
+// onSubmit serves a job that was passed on; it is not passed on again.
+func (n *Node) onSubmit(ctx context.Context, in *peer.SubmitIn) (*peer.JobOut, error) {
+	defer n.Begin()()
+	k := n.keeper(in.Cell)
+	if k == nil {
+		return toPeer(model.Job{}, cell.ErrNotOwner), nil
+	}
+	o := k.Owner()
+	if o == nil {
+		return toPeer(model.Job{}, cell.ErrNotOwner), nil
+	}
+	return toPeer(o.Submit(ctx, in.Spec)), nil
+}
+
+// chooseCell picks the cell for a job: one where its workspace's guarantee
+// covers the shape, else the one with the most open accelerators that could
+// hold it, else by the key's hash.
+func (n *Node) chooseCell(spec model.JobSpec) (string, error) {
+	cells := n.cells()
+	if len(cells) == 0 {
+		return "", fmt.Errorf("%w: no cell is known yet", cell.ErrNotReady)
+	}
+	plan, _ := n.plan()
+	for _, g := range plan.Workspaces[spec.Workspace].Guarantees {
+		if spec.Shape.Each <= g.Each && spec.Shape.Accelerators() <= g.Tasks*g.Each {
+			return g.Cell, nil
+		}
+	}
+	open := map[string]int{}
+	for _, b := range append(n.mesh.live(), n.beat()) {
+		for _, c := range b.Cells {
+			open[c.Cell] = c.Open - c.Queued
+		}
+	}
+	h := int(xxhash.Sum64String(spec.Workspace+"\x00"+spec.Key) % uint64(len(cells)))
+	best := cells[h]
+	for _, c := range cells {
+		if open[c] > open[best] && open[c] >= spec.Shape.Accelerators() {
+			best = c
+		}
+	}
+	return best, nil
+}
+
+// Job returns a job's state, from its owner while it is open, else from the
+// table; with wait, when it has ended or ctx ends.
+func (n *Node) Job(ctx context.Context, id string, wait bool) (model.Job, error) {
+	var last model.Job
+	for {
+		job, err := n.jobOnce(ctx, id, wait)
+		if err == nil && (!wait || job.State.Final()) {
+			return job, nil
+		}
+		if err != nil && !again(err) {
+			return job, err
+		}
+		if err == nil {
+			last = job
+		}
+		sleep(ctx, retryPause)
+		if ctx.Err() != nil {
+			if last.ID != "" {
+				return last, nil
+			}
+			return job, err
+		}
+	}
+}
+
+func (n *Node) jobOnce(ctx context.Context, id string, wait bool) (model.Job, error) {
+	k := n.keeper(model.CellOf(id))
+	if k == nil {
+		return n.stored(ctx, id)
+	}
+	job, err := n.askOwner(ctx, k, &peer.JobIn{ID: id, Wait: wait})
+	if err == nil {
+		return job, nil
+	}
+	if stored, storedErr := n.stored(ctx, id); storedErr == nil {
+		return stored, nil
+	} else if errors.Is(storedErr, cell.ErrAbsent) {
+		return job, storedErr
+	}
+	return job, err
+}
+
+func (n *Node) askOwner(ctx context.Context, k *keeperRun, in *peer.JobIn) (model.Job, error) {
+	if o := k.Owner(); o != nil {
+		return askLocal(ctx, o, in)
+	}
+	client := n.ownerClient(k)
+	if client == nil {
+		return model.Job{}, cell.ErrNotOwner
+	}
+	limit := n.Settings.AnswerWait / 2
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	out, err := client.Job(ctx, in)
+	return fromPeer(out, err)
+}
+
+func askLocal(ctx context.Context, o *cell.Owner, in *peer.JobIn) (model.Job, error) {
+	if in.Cancel {
+		if err := o.Cancel(ctx, in.ID); err != nil {
+			return model.Job{}, err
+		}
+	}
+	return o.Job(ctx, in.ID, in.Wait)
+}
+
+// stored reads a job from the table.
+func (n *Node) stored(ctx context.Context, id string) (model.Job, error) {
+	e, err := n.Host.Ledger.Load(ctx, id)
+	switch {
+	case err == nil:
+		return e.Job, nil
+	case errors.Is(err, ledger.ErrAbsent):
+		return model.Job{}, fmt.Errorf("%w: %w", cell.ErrAbsent, err)
+	}
+	return model.Job{}, fmt.Errorf("%w: %w", cell.ErrNotReady, err)
+}
+
+// onJob serves a question that was passed on.
+func (n *Node) onJob(ctx context.Context, in *peer.JobIn) (*peer.JobOut, error) {
+	k := n.keeper(model.CellOf(in.ID))
+	if k == nil {
+		return toPeer(model.Job{}, cell.ErrNotOwner), nil
+	}
+	o := k.Owner()
+	if o == nil {
+		return toPeer(model.Job{}, cell.ErrNotOwner), nil
+	}
+	// Answer before the asker's deadline, so that it hears the state so far.
+	if d, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, d.Add(-min(retryPause, time.Until(d)/4)))
+		defer cancel()
+	}
+	return toPeer(askLocal(ctx, o, in)), nil
+}
+
+// Cancel asks the owner to cancel a job and returns the job's state.
+func (n *Node) Cancel(ctx context.Context, id string) (model.Job, error) {
+	k := n.keeper(model.CellOf(id))
+	if k == nil {
+		return n.stored(ctx, id)
+	}
+	for {
+		job, err := n.askOwner(ctx, k, &peer.JobIn{ID: id, Cancel: true})
+		if err == nil {
+			return job, nil
+		}
+		if errors.Is(err, cell.ErrAbsent) {
+			return n.stored(ctx, id)
+		}
+		sleep(ctx, retryPause)
+		if !again(err) || ctx.Err() != nil {
+			return job, err
+		}
+	}
+}
+
+// ErrNoAnswerYet means that the job has no answer, or none yet.
+var ErrNoAnswerYet = errors.New("job has no answer")
+
+// Answer returns the whole answer of a job that is done.
+func (n *Node) Answer(ctx context.Context, id string) ([]byte, error) {
+	job, err := n.stored(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if job.State != model.Done || job.Answer == nil {
+		return nil, fmt.Errorf("job %q is %s: %w", id, job.State, ErrNoAnswerYet)
+	}
+	data := job.Answer.Inline
+	if job.Answer.Object != "" {
+		data, err = n.Host.Objects.Get(ctx, job.Answer.Object)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", cell.ErrNotReady, err)
+		}
+	}
+	if !job.Answer.Verify(data) {
+		return nil, fmt.Errorf("%w: stored answer of job %q is damaged", cell.ErrNotReady, id)
+	}
+	return slices.Clone(data), nil
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"greengageline/internal/config"
+	"greengageline/internal/event"
+	"greengageline/internal/place"
+)
+
+// Status is what one node knows of the fleet.
+type Status struct {
+	Node       string                 `json:"node"`
+	Zone       string                 `json:"zone"`
+	Draining   bool                   `json:"draining"`
+	Generation uint64                 `json:"generation"`
+	Fresh      bool                   `json:"fresh"`
+	Nodes      []PeerStatus           `json:"nodes"`
+	Cells      []CellStatus           `json:"cells"`
+	Workspaces []place.WorkspaceStats `json:"workspaces,omitempty"`
+	Targets    int                    `json:"targets"`
+	FreeSlots  int                    `json:"free_slots"`
+}
+
+// PeerStatus is a live node.
+type PeerStatus struct {
+	Node       string `json:"node"`
+	Addr       string `json:"addr"`
+	Zone       string `json:"zone"`
+	Generation uint64 `json:"generation"`
+	Draining   bool   `json:"draining"`
+}
+
+// CellStatus is a cell, with its summary if this node owns it.
+type CellStatus struct {
+	Cell  string       `json:"cell"`
+	Owner string       `json:"owner"`
+	Epoch uint64       `json:"epoch"`
+	Ready bool         `json:"ready"`
+	Stats *place.Stats `json:"stats,omitempty"`
+}
+
+// Status returns the node's view now.
+func (n *Node) Status() Status {
+	plan, fresh := n.plan()
+	s := Status{
+		Node: n.Settings.Node, Zone: n.Settings.Zone, Draining: n.draining.Load(),
+		Generation: plan.Generation, Fresh: fresh,
+		Targets: len(n.vms.targets()), FreeSlots: n.home.Free(),
+	}
+	s.Nodes = append(s.Nodes, PeerStatus{n.Settings.Node, n.Settings.Address(), n.Settings.Zone, plan.Generation, s.Draining})
+	for _, b := range n.mesh.live() {
+		s.Nodes = append(s.Nodes, PeerStatus{b.Node, b.Addr, b.Zone, b.Generation, b.Draining})
+	}
+	for _, name := range n.cells() {
+		s.Cells = append(s.Cells, n.cellStatus(name, &s))
+	}
+	return s
+}
+
+func (n *Node) cellStatus(name string, s *Status) CellStatus {
+	out := CellStatus{Cell: name}
+	k := n.keeper(name)
+	if k == nil {
+		return out
+	}
+	right := k.Seen()
+	out.Owner, out.Epoch = right.Owner, right.Epoch
+	o := k.Owner()
+	if o == nil {
+		return out
+	}
+	stats, ok := o.Stats()
+	if !ok {
+		return out
+	}
+	out.Ready = o.Ready()
+	s.Workspaces = append(s.Workspaces, stats.Workspaces...)
+	stats.Workspaces = nil
+	out.Stats = &stats
+	return out
+}
+
+// ChangeConfig makes a new generation, if its guarantees can be packed on the
+// workers of the VM list, and applies it here at once.
+func (n *Node) ChangeConfig(ctx context.Context, c config.Change) (uint64, error) {
+	generation, err := n.Config.Change(ctx, c, func(p config.Plan) error {
+		targets := n.vms.targets()
+		before, _ := n.plan()
+		if err := p.Moves(before, targets); err != nil {
+			return err
+		}
+		return p.Packable(targets)
+	})
+	if err != nil {
+		return 0, err
+	}
+	n.Log.Emit(event.ConfigAccepted).Uint64("generation", generation).Str("author", c.Author).
+		Str("note", c.Note).Send()
+	n.followConfig(ctx)
+	return generation, nil
+}
+
+// StaleFor is how long ago the configuration was last shown to be fresh.
+func (n *Node) StaleFor() time.Duration { return time.Since(n.conf.load().freshAt) }
--- /dev/null
+++ b/internal/oper/tell.go
@@ -0,0 +1,47 @@
+package oper
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"greengageline/pkg/model"
+)
+
+// Tell writes a job's story, one line for each step.
+func Tell(j model.Job) []string {
+	lines := []string{fmt.Sprintf("job %s of workspace %s: %d tasks of %d accelerators, key %q, accepted under generation %d",
+		j.ID, j.Spec.Workspace, j.Spec.Shape.Tasks, j.Spec.Shape.Each, j.Spec.Key, j.Generation)}
+	if !j.Spec.Idempotent {
+		lines = append(lines, "it must not run twice: once an attempt may have started, it is never sent again")
+	}
+	for _, n := range j.Notes {
+		at := time.UnixMilli(n.AtMs).UTC().Format("2006-01-02 15:04:05.000")
+		lines = append(lines, fmt.Sprintf("%s  %-9s %s", at, n.State, n.Reason))
+	}
+	if len(j.Members) > 0 {
+		lines = append(lines, fmt.Sprintf("last attempt %d (%s%s) on %s", j.Attempt, j.Mode, claimOf(j), membersOf(j)))
+	}
+	if len(j.FailedOn) > 0 {
+		lines = append(lines, "it failed on "+strings.Join(j.FailedOn, ", "))
+	}
+	if j.Answer != nil {
+		lines = append(lines, fmt.Sprintf("its answer has %d bytes, checksum %016x", j.Answer.Length, j.Answer.Sum))
+	}
+	return lines
+}
+
+func claimOf(j model.Job) string {
+	if j.Claim == "" {
+		return ""
+	}
+	return " share " + j.Claim
+}
+
+func membersOf(j model.Job) string {
+	var parts []string
+	for _, m := range j.Members {
+		parts = append(parts, fmt.Sprintf("%s (%d)", m.Worker, m.Tasks))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/stand/rows.go
@@ -0,0 +1,131 @@
+package stand
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+)
+
+type row struct {
+	Key     string          `json:"key"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+type check struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+type write struct {
+	Key    string          `json:"key"`
+	Value  json.RawMessage `json:"value"`
+	Delete bool            `json:"delete,omitempty"`
+}
+
+type txn struct {
+	ID     string  `json:"id"`
+	Checks []check `json:"checks"`
+	Writes []write `json:"writes"`
+}
+
+// Rows is an in-memory transactional table; the zero value is empty and ready.
+type Rows struct {
+	mu sync.Mutex
+	// All below is guarded by mu. keys is sorted.
+	rows     map[string]row
+	keys     []string
+	revision uint64
+	reads    int64
+	writes   int64
+}
+
+// commit applies t if all its checks hold; otherwise it names the first key
+// that differs.
+func (r *Rows) commit(t txn) (version uint64, conflict string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range t.Checks {
+		if r.rows[c.Key].Version != c.Version {
+			return 0, c.Key
+		}
+	}
+	if r.rows == nil {
+		r.rows = map[string]row{}
+	}
+	r.revision++
+	for _, w := range t.Writes {
+		r.write(w)
+	}
+	r.writes += int64(len(t.Writes))
+	return r.revision, ""
+}
+
+func (r *Rows) write(w write) {
+	at, found := slices.BinarySearch(r.keys, w.Key)
+	if w.Delete {
+		if found {
+			r.keys = slices.Delete(r.keys, at, at+1)
+			delete(r.rows, w.Key)
+		}
+		return
+	}
+	if !found {
+		r.keys = slices.Insert(r.keys, at, w.Key)
+	}
+	r.rows[w.Key] = row{Key: w.Key, Version: r.revision, Value: slices.Clone(w.Value)}
+}
+
+func (r *Rows) get(keys []string) []row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reads += int64(len(keys))
+	var out []row
+	for _, key := range keys {
+		if found, ok := r.rows[key]; ok {
+			out = append(out, found)
+		}
+	}
+	return out
+}
+
+func (r *Rows) scan(prefix, after string, limit int) (out []row, more bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reads++
+	at, found := slices.BinarySearch(r.keys, max(prefix, after))
+	if found && after == r.keys[at] {
+		at++
+	}
+	for ; at < len(r.keys) && strings.HasPrefix(r.keys[at], prefix); at++ {
+		if len(out) == limit {
+			return out, true
+		}
+		out = append(out, r.rows[r.keys[at]])
+	}
+	return out, false
+}
+
+// Counts returns how many row reads and row writes were served.
+func (r *Rows) Counts() (reads, writes int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reads, r.writes
+}
+
+// Dump returns the stored values whose keys start with prefix, without the
+// scheduler's envelope, for checkers.
+func (r *Rows) Dump(prefix string) map[string]json.RawMessage {
+	rows, _ := r.scan(prefix, "", int(^uint(0)>>1))
+	out := map[string]json.RawMessage{}
+	for _, found := range rows {
+		var envelope struct {
+			Body json.RawMessage `json:"b"`
+		}
+		if json.Unmarshal(found.Value, &envelope) == nil {
+			out[found.Key] = envelope.Body
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/model/check.go
@@ -0,0 +1,150 @@
+package model
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// ErrInvalid is wrapped by every error that a check of a field returns.
+var ErrInvalid = errors.New("invalid")
+
+// Checker is a value that can verify its own fields after decoding.
+type Checker interface {
+	Check() error
+}
+
+// FieldError says which field of a message is wrong and why.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error returns the field's name and the reason.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("field %q: %s", e.Field, e.Reason)
+}
+
+// Unwrap makes errors.Is(err, ErrInvalid) hold.
+func (e *FieldError) Unwrap() error { return ErrInvalid }
+
+func invalid(field, format string, args ...any) error {
+	return &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Decode reads exactly one JSON value into out, refuses unknown and repeated
+// keys, and runs the value's own check.
+func Decode(data []byte, out any) error {
+	if err := checkRepeated(json.NewDecoder(bytes.NewReader(data))); err != nil {
+		return err
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(out); err != nil {
+		return decodeError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return invalid("", "more than one JSON value")
+	}
+	if c, ok := out.(Checker); ok {
+		return c.Check()
+	}
+	return nil
+}
+
+func decodeError(err error) error {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return invalid(typeErr.Field, "is a %s, want %s", typeErr.Value, typeErr.Type)
+	}
+	return fmt.Errorf("%w: %w", ErrInvalid, err)
+}
+
+// maxDepth bounds the nesting of a decoded message.
+const maxDepth = 32
+
+// checkRepeated walks one JSON value and refuses an object that names a key
+// twice, which encoding/json would accept silently.
+func checkRepeated(dec *json.Decoder) error {
+	return walkValue(dec, 0)
+}
+
+func walkValue(dec *json.Decoder, depth int) error {
+	if depth > maxDepth {
+		return invalid("", "nested deeper than %d levels", maxDepth)
+	}
+	tok, err := dec.Token()
+	if err != nil {
+		return fmt.Errorf("%w: malformed JSON: %w", ErrInvalid, err)
+	}
+	switch tok {
+	case json.Delim('{'):
+		return walkObject(dec, depth)
+	case json.Delim('['):
+		return walkArray(dec, depth)
+	}
+	return nil
+}
+
+func walkObject(dec *json.Decoder, depth int) error {
+	seen := map[string]bool{}
+	for dec.More() {
+		tok, err := dec.Token()
+		if err != nil {
+			return fmt.Errorf("%w: malformed JSON: %w", ErrInvalid, err)
+		}
+		key, _ := tok.(string)
+		if seen[key] {
+			return invalid(key, "is given twice")
+		}
+		seen[key] = true
+		if err := walkValue(dec, depth+1); err != nil {
+			return err
+		}
+	}
+	return closeToken(dec)
+}
+
+func walkArray(dec *json.Decoder, depth int) error {
+	for dec.More() {
+		if err := walkValue(dec, depth+1); err != nil {
+			return err
+		}
+	}
+	return closeToken(dec)
+}
+
+func closeToken(dec *json.Decoder) error {
+	if _, err := dec.Token(); err != nil {
+		return fmt.Errorf("%w: malformed JSON: %w", ErrInvalid, err)
+	}
+	return nil
+}
+
+// maxName bounds a name that callers or operators choose, in bytes.
+const maxName = 128
+
+func checkName(field, s string) error {
+	if s == "" {
+		return invalid(field, "is empty")
+	}
+	if len(s) > maxName {
+		return invalid(field, "is longer than %d bytes", maxName)
+	}
+	for _, r := range s {
+		if !nameRune(r) {
+			return invalid(field, "contains %q; use letters, digits, '-', '_' and '.'", r)
+		}
+	}
+	return nil
+}
+
+func nameRune(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return true
+	}
+	return r == '-' || r == '_' || r == '.'
+}
