--- a/internal/place/blame.go
+++ b/internal/place/blame.go
@@ -120,6 +120,7 @@
 	e.pool.setState(w, workerQuarantined)
 	e.resting = append(e.resting, w)
 	e.decide(Decision{Kind: Quarantine, Worker: w.vm.ID, Reason: reason})
+	e.withdraw(w)
 	e.mendAll(slices.Clone(w.claims))
 }
 
--- a/internal/place/claim.go
+++ b/internal/place/claim.go
@@ -49,6 +49,7 @@
 		w.claims = slices.Delete(w.claims, at, at+1)
 	}
 	e.pool.update(w)
+	e.roomier()
 	c.spots = slices.Delete(c.spots, i, i+1)
 	c.left = slices.Delete(c.left, i, i+1)
 }
@@ -236,11 +237,12 @@
 // relocate moves an unused claim's witness to open places, if there are any,
 // so that nobody has to be evicted.
 func (e *Engine) relocate(c *claim, j *job, spots []spot, evict int) (*claim, []spot, int) {
-	old := slices.Clone(c.spots)
+	old, misses := slices.Clone(c.spots), slices.Clone(e.misses)
 	e.dropAll(c)
 	to := e.pool.find(query{view: viewSpare, shape: c.shape, scope: scopeCell, avoid: j.avoid})
 	if to == nil {
 		e.addSpots(c, old)
+		e.misses = misses
 		return c, spots, evict
 	}
 	e.addSpots(c, to)
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -224,12 +224,8 @@
 	}
 	e.leaveQuarantine(w)
 	e.pool.setState(w, workerLeaving)
-	e.dropHoldsOn(w)
+	e.withdraw(w)
 	for _, j := range slices.Clone(w.jobs) {
-		if j.state == jobWaiting {
-			e.unplace(j)
-			continue
-		}
 		if j.preemptible() && j.req.Checkpoint {
 			e.evict(j, fmt.Sprintf("worker %s is leaving and the job can be checkpointed", id))
 		}
@@ -244,12 +240,8 @@
 	}
 	e.leaveQuarantine(w)
 	e.pool.setState(w, workerLost)
-	e.dropHoldsOn(w)
+	e.withdraw(w)
 	for _, j := range slices.Clone(w.jobs) {
-		if j.state == jobWaiting {
-			e.unplace(j)
-			continue
-		}
 		j.leaving = true
 		e.decide(Decision{
 			Kind: Lost, Job: j.req.ID, Workspace: j.req.Workspace, Worker: id,
@@ -268,6 +260,16 @@
 	e.pass()
 }
 
+// withdraw takes back what was planned on a worker and has not started.
+func (e *Engine) withdraw(w *worker) {
+	e.dropHoldsOn(w)
+	for _, j := range slices.Clone(w.jobs) {
+		if j.state == jobWaiting {
+			e.unplace(j)
+		}
+	}
+}
+
 // unplace takes back a placement that has not started.
 func (e *Engine) unplace(j *job) {
 	e.free(j)
@@ -449,8 +451,6 @@
 		return
 	}
 	e.mendRisks()
-	e.startWaiting()
-	e.serveHolds()
 	e.pass()
 }
 
--- a/internal/place/frag.go
+++ b/internal/place/frag.go
@@ -63,21 +63,22 @@
 // in demand: for each guaranteed or queued shape, the part of the open
 // accelerators outside places where that whole shape fits, weighted by how
 // many accelerators of the shape are in demand. It is 0 if nothing is.
-func (e *Engine) Fragmentation() float64 {
+func (e *Engine) Fragmentation() float64 { return e.pool.fragmentation(e.demand()) }
+
+func (p *pool) fragmentation(demand map[model.Shape]int) float64 {
 	open := 0
-	for _, z := range e.pool.zones {
+	for _, z := range p.zones {
 		open += z.index[viewOpen].total[1]
 	}
 	if open == 0 {
 		return 0
 	}
-	demand := e.demand()
 	shapes := slices.SortedFunc(maps.Keys(demand), compareShapes)
 	total, lost := 0.0, 0.0
 	for _, shape := range shapes {
 		weight := float64(demand[shape])
 		total += weight
-		lost += weight * (1 - float64(e.usable(shape))/float64(open))
+		lost += weight * (1 - float64(p.usable(shape))/float64(open))
 	}
 	if total == 0 {
 		return 0
@@ -105,10 +106,10 @@
 
 // usable counts the open accelerators in racks, or for shapes beyond any rack
 // in zones, that whole gangs of the shape could use.
-func (e *Engine) usable(shape model.Shape) int {
-	s, _ := e.pool.widest(shape)
+func (p *pool) usable(shape model.Shape) int {
+	s, _ := p.widest(shape)
 	gangs := 0
-	for _, z := range e.pool.zones {
+	for _, z := range p.zones {
 		x := &z.index[viewOpen]
 		if s != scopeRack {
 			gangs += x.total[shape.Each] / shape.Tasks
--- a/internal/place/hold.go
+++ b/internal/place/hold.go
@@ -64,7 +64,9 @@
 	move := e.cheapestMove(j, sets)
 	switch {
 	case move != nil && (soon == nil || e.movePays(j, move, soon.until)):
-		e.addHold(j, move.spots, e.now, "others move away by checkpoint")
+		if !e.addHold(j, move.spots, e.now, "others move away by checkpoint") {
+			return
+		}
 		for _, m := range move.jobs {
 			e.evict(m, fmt.Sprintf("moves so that job %s can start", j.req.ID))
 		}
@@ -75,7 +77,8 @@
 	}
 }
 
-func (e *Engine) addHold(j *job, spots []spot, until int64, why string) {
+// addHold makes the hold unless too much of the pool is held already.
+func (e *Engine) addHold(j *job, spots []spot, until int64, why string) bool {
 	held, size := j.accelerators(), 0
 	for _, h := range e.holds {
 		held += h.job.accelerators()
@@ -85,7 +88,7 @@
 	}
 	if float64(held) > maxHeldShare*float64(size) && len(e.holds) > 0 {
 		j.holdAfter = e.now + holdRetryMs
-		return
+		return false
 	}
 	h := &hold{job: j, spots: spots, until: until}
 	j.hold = h
@@ -98,6 +101,7 @@
 		Kind: Hold, Job: j.req.ID, Workspace: j.req.Workspace, Accelerators: j.accelerators(),
 		Reason: fmt.Sprintf("blocked for %d s; %s", (e.now-j.req.ArrivedMs)/1000, why),
 	})
+	return true
 }
 
 func (e *Engine) dropHold(h *hold, reason string) {
@@ -142,11 +146,7 @@
 func (h *hold) free() bool {
 	for _, s := range h.spots {
 		n := s.tasks * h.job.req.Shape.Each
-		room := s.w.free()
-		if !h.job.preemptible() {
-			room = min(room, s.w.size-s.w.firm-s.w.idle)
-		}
-		if room < n {
+		if min(s.w.free(), futureOf(s.w).room(h.job, s.w)) < n {
 			return false
 		}
 	}
@@ -163,15 +163,18 @@
 			e.press(h, s)
 		}
 		if !h.free() && !slices.ContainsFunc(h.spots, func(s spot) bool { return leavingOn(s.w) > 0 }) {
+			h.job.holdAfter = e.now + holdRetryMs
 			e.dropHold(h, "work that can't be evicted stays on the held places")
 		}
 	}
 }
 
+// press evicts only jobs that arrived after the one that waits: two gangs that
+// each outlast their estimates would otherwise evict each other for ever.
 func (e *Engine) press(h *hold, s spot) {
 	need := s.tasks * h.job.req.Shape.Each
 	for s.w.free()+leavingOn(s.w) < need {
-		victim := e.cheapest(s.w)
+		victim := e.cheapest(s.w, func(x *job) bool { return compareJobs(x, h.job) > 0 })
 		if victim == nil {
 			return
 		}
@@ -205,10 +208,7 @@
 func (h *hold) gap(j *job) (spots []spot) {
 	n := j.req.Shape.Tasks
 	for _, s := range h.spots {
-		room := s.w.free()
-		if !j.preemptible() {
-			room = min(room, s.w.size-s.w.firm-max(s.w.idle, s.w.borrowed))
-		}
+		room := min(s.w.free(), futureOf(s.w).room(j, s.w))
 		if j.avoid[s.w] {
 			continue
 		}
@@ -306,17 +306,46 @@
 	return best
 }
 
-// end is accelerators of one worker that are expected to come free.
+// end is the expected end of a job's part on one worker.
 type end struct {
 	at int64
 	w  *worker
-	n  int
+	j  *job
+}
+
+// future is a worker's counts as they will be when some of its jobs are gone.
+type future struct{ firm, borrowed, idle int }
+
+func futureOf(w *worker) future { return future{w.firm, w.borrowed, w.idle} }
+
+// without returns the counts once n accelerators of a job are free; those of a
+// share go back to the share.
+func (f future) without(j *job, n int) future {
+	if j.mode == model.Borrowed {
+		f.borrowed -= n
+		return f
+	}
+	f.firm -= n
+	if j.claim != nil {
+		f.idle += n
+	}
+	return f
+}
+
+// room is what the job could take on the worker: unpreemptible work only what
+// no share needs.
+func (f future) room(j *job, w *worker) int {
+	if j.preemptible() {
+		return max(w.size-f.firm-f.borrowed, 0)
+	}
+	return max(w.size-f.firm-max(f.idle, f.borrowed), 0)
 }
 
 // waitPlan finds the time at which the set has room for the whole gang if jobs
 // end as expected.
 func (e *Engine) waitPlan(j *job, set []*worker) *plan {
 	k := j.req.Shape.Each
+	later := map[*worker]future{}
 	room := map[*worker]int{}
 	slots := 0
 	var ends []end
@@ -324,10 +353,11 @@
 		if w.state != workerUp || w.held > 0 || j.avoid[w] {
 			continue
 		}
-		room[w] = holdRoom(j, w)
-		slots += max(room[w], 0) / k
+		later[w] = futureOf(w)
+		room[w] = later[w].room(j, w)
+		slots += room[w] / k
 		for _, x := range w.jobs {
-			ends = append(ends, end{e.expectedEnd(x), w, e.usedOn(x, w)})
+			ends = append(ends, end{e.expectedEnd(x), w, x})
 		}
 	}
 	slices.SortStableFunc(ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
@@ -336,9 +366,10 @@
 		if slots >= j.req.Shape.Tasks {
 			break
 		}
-		before := max(room[x.w], 0) / k
-		room[x.w] += x.n
-		slots += max(room[x.w], 0)/k - before
+		before := room[x.w] / k
+		later[x.w] = later[x.w].without(x.j, e.usedOn(x.j, x.w))
+		room[x.w] = later[x.w].room(j, x.w)
+		slots += room[x.w]/k - before
 		until = x.at
 	}
 	if slots < j.req.Shape.Tasks {
@@ -347,15 +378,6 @@
 	return &plan{spots: gather(set, room, j.req.Shape), until: until}
 }
 
-// holdRoom is what the job could take on w now: for unpreemptible work only
-// what no share needs.
-func holdRoom(j *job, w *worker) int {
-	if j.preemptible() {
-		return w.free()
-	}
-	return w.size - w.firm - max(w.idle, w.borrowed)
-}
-
 // expectedEnd is when a started job should end; one that overstays is expected
 // to run on for half of what it has run.
 func (e *Engine) expectedEnd(j *job) int64 {
@@ -369,7 +391,7 @@
 	slices.SortStableFunc(order, func(a, b *worker) int { return cmp.Compare(room[b], room[a]) })
 	n := shape.Tasks
 	for _, w := range order {
-		if take := min(max(room[w], 0)/shape.Each, n); take > 0 {
+		if take := min(room[w]/shape.Each, n); take > 0 {
 			spots = append(spots, spot{w, take})
 			n -= take
 		}
@@ -423,12 +445,13 @@
 		if w.state != workerUp || w.held > 0 || j.avoid[w] {
 			continue
 		}
-		room[w] = holdRoom(j, w)
+		later := futureOf(w)
 		for _, x := range w.jobs {
-			if movable(x) {
-				room[w] += e.usedOn(x, w)
+			if movable(x, j) {
+				later = later.without(x, e.usedOn(x, w))
 			}
 		}
+		room[w] = later.room(j, w)
 	}
 	spots := gather(set, room, j.req.Shape)
 	n := 0
@@ -445,26 +468,31 @@
 	return p
 }
 
-func movable(j *job) bool {
-	return j.mode == model.Borrowed && j.req.Checkpoint && !j.leaving && j.state == jobStarted
+// movable reports whether x may be moved for j: a gang only if it arrived
+// later, so that gangs don't move each other in turn.
+func movable(x, j *job) bool {
+	if x.mode != model.Borrowed || !x.req.Checkpoint || x.leaving || x.state != jobStarted {
+		return false
+	}
+	return x.req.Shape.Tasks == 1 || compareJobs(x, j) > 0
 }
 
 // addMoves adds jobs to the plan until the spot is free, the cheapest first.
 func (e *Engine) addMoves(p *plan, j *job, s spot) {
-	room := holdRoom(j, s.w)
+	later := futureOf(s.w)
 	for _, m := range p.jobs {
-		room += e.usedOn(m, s.w)
+		later = later.without(m, e.usedOn(m, s.w))
 	}
 	able := slices.Clone(s.w.jobs)
 	slices.SortStableFunc(able, func(a, b *job) int { return cmp.Compare(e.loss(a), e.loss(b)) })
 	for _, m := range able {
-		if room >= s.tasks*j.req.Shape.Each {
+		if later.room(j, s.w) >= s.tasks*j.req.Shape.Each {
 			return
 		}
-		if !movable(m) || slices.Contains(p.jobs, m) {
+		if !movable(m, j) || slices.Contains(p.jobs, m) {
 			continue
 		}
-		room += e.usedOn(m, s.w)
+		later = later.without(m, e.usedOn(m, s.w))
 		p.jobs = append(p.jobs, m)
 		p.cost += e.policy.MoveCostMs * int64(m.accelerators())
 	}
--- a/internal/place/pass.go
+++ b/internal/place/pass.go
@@ -38,11 +38,14 @@
 	return spots
 }
 
-// pass starts queued jobs while any fits, one of each lane in turn.
+// pass starts what waited for evictions or for held places, and then queued
+// jobs while any fits, one of each lane in turn.
 func (e *Engine) pass() {
 	if !e.ready {
 		return
 	}
+	e.startWaiting()
+	e.serveHolds()
 	blocked := map[*lane]bool{}
 	for progress := true; progress; {
 		progress = false
@@ -93,6 +96,8 @@
 	return "uses its share " + c.id
 }
 
+const probeReason = "probes a worker after quarantine"
+
 // tryProbe gives a worker on probation a job that may be run again.
 func (e *Engine) tryProbe(j *job) bool {
 	r := j.req
@@ -101,7 +106,7 @@
 	}
 	for _, w := range e.probing {
 		if len(w.jobs) == 0 && w.size >= r.Shape.Each && !j.avoid[w] {
-			e.place(j, model.Borrowed, nil, []spot{{w, 1}}, "probes a worker after quarantine")
+			e.place(j, model.Borrowed, nil, []spot{{w, 1}}, probeReason)
 			return true
 		}
 	}
@@ -216,7 +221,7 @@
 // makeRoom evicts borrowers from an overfull worker, the least loss first.
 func (e *Engine) makeRoom(w *worker, by *job) {
 	for w.firm+w.borrowed-leavingOn(w) > w.size {
-		victim := e.cheapest(w)
+		victim := e.cheapest(w, func(*job) bool { return true })
 		if victim == nil {
 			return
 		}
@@ -241,10 +246,11 @@
 	return n
 }
 
-func (e *Engine) cheapest(w *worker) *job {
+// cheapest returns the borrower whose eviction loses least, of those allowed.
+func (e *Engine) cheapest(w *worker, allowed func(*job) bool) *job {
 	var best *job
 	for _, j := range w.jobs {
-		if j.mode != model.Borrowed || j.leaving {
+		if j.mode != model.Borrowed || j.leaving || !allowed(j) {
 			continue
 		}
 		if best == nil || cmp.Or(
