Hold places for blocked gangs by what moves and what ends

A trace of the gangs of 96 showed why: jobs of one accelerator evicted gangs to use their share although open places were there; small jobs were spread over all zones; holds expired and started over elsewhere; younger holds used up the bound; two jobs moved each other 2,000 times; the wait saved was taken as nothing when a job outlasted its estimate.

Ruled out, each tried and reverted: holds on half or on 0.4 of the pool (small jobs' p99 up by a tenth, gangs no better); stopping later borrowers without a checkpoint once a gang had waited 30, 60 or 120 minutes (lost work from 3 to between 7 and 15 percent, medium p99 up by half, gangs no better); moving shares aside onto borrowed places (lost work doubled).

Change: a share is used first where nobody has to go, then open places, then reclaim; the fullest zone first; holds go by seniority and are replanned instead of dropped; jobs that can be moved run on until all else is out.

--- a/internal/place/claim.go
+++ b/internal/place/claim.go
@@ -87,11 +87,42 @@
 		e.dropAll(c)
 		shape = c.shape
 	}
-	spots := e.pool.find(query{view: viewRoom, shape: shape, scope: scopeCell})
+	spots := e.findWitness(shape)
 	e.addSpots(c, spots)
 	return spots != nil
 }
 
+// findWitness looks for a place that no hold waits for, then for any.
+func (e *Engine) findWitness(shape model.Shape) []spot {
+	q := query{view: viewRoom, shape: shape, scope: scopeCell, avoid: e.heldWorkers()}
+	spots := e.pool.find(q)
+	if spots != nil || q.avoid == nil {
+		return spots
+	}
+	q.avoid = nil
+	return e.pool.find(q)
+}
+
+// stepAside moves unused claims off held places, if they find room elsewhere:
+// else their workspace's next jobs would keep the gang waiting.
+func (e *Engine) stepAside(h *hold) {
+	avoid := e.heldWorkers()
+	for _, s := range h.spots {
+		for _, c := range slices.Clone(s.w.claims) {
+			if len(c.users) > 0 || c.missing() > 0 {
+				continue
+			}
+			old, misses := slices.Clone(c.spots), slices.Clone(e.misses)
+			e.dropAll(c)
+			to := e.pool.find(query{view: viewSpare, shape: c.shape, scope: scopeZone, avoid: avoid})
+			if to == nil {
+				to, e.misses = old, misses
+			}
+			e.addSpots(c, to)
+		}
+	}
+}
+
 // mendAll mends claims, the largest first, and raises or ends their risks.
 func (e *Engine) mendAll(claims []*claim) {
 	sortClaims(claims)
--- a/internal/place/find.go
+++ b/internal/place/find.go
@@ -47,14 +47,9 @@
 }
 
 func (p *pool) findRack(q query) []spot {
-	k, n := q.shape.Each, q.shape.Tasks
-	most := 0
-	for _, z := range p.zones {
-		most = max(most, len(z.index[q.view].by[k]))
-	}
 	tries := 0
-	for s := n; s < most; s++ {
-		for _, z := range p.zones {
+	for _, z := range p.fullestZones(q) {
+		for s := q.shape.Tasks; s < len(z.index[q.view].by[q.shape.Each]); s++ {
 			if spots := z.tryBucket(q, s, &tries); spots != nil {
 				return spots
 			}
@@ -66,6 +61,21 @@
 	return nil
 }
 
+// fullestZones orders the zones by what is left in them, least first: small
+// work gathers in few zones, so that others keep room for the largest gangs.
+func (p *pool) fullestZones(q query) []*zone {
+	order := make([]*zone, 0, len(p.zones))
+	for _, z := range p.zones {
+		if z.index[q.view].total[q.shape.Each] >= q.shape.Tasks {
+			order = append(order, z)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b *zone) int {
+		return cmp.Compare(a.index[q.view].total[1], b.index[q.view].total[1])
+	})
+	return order
+}
+
 func (z *zone) tryBucket(q query, s int, tries *int) (found []spot) {
 	by := z.index[q.view].by[q.shape.Each]
 	if s >= len(by) || by[s].size == 0 {
--- a/internal/place/hold.go
+++ b/internal/place/hold.go
@@ -21,13 +21,15 @@
 	maxHeldShare = 0.25
 	// maxHoldRacks bounds the racks that are weighed for one hold.
 	maxHoldRacks = 64
+	// maxMoves is how often one job is moved for others.
+	maxMoves = 2
 	// holdRetryMs is the wait after no hold could be made for a job.
 	holdRetryMs = 30_000
 )
 
 // considerHolds makes holds for the jobs that have been blocked longest.
 func (e *Engine) considerHolds() {
-	if len(e.holds) >= e.policy.MaxHolds {
+	if e.policy.MaxHolds == 0 {
 		return
 	}
 	var blocked []*job
@@ -39,9 +41,6 @@
 	}
 	slices.SortFunc(blocked, compareJobs)
 	for _, j := range blocked {
-		if len(e.holds) >= e.policy.MaxHolds {
-			return
-		}
 		e.makeHold(j)
 	}
 }
@@ -56,40 +55,53 @@
 	return e.now-j.req.ArrivedMs >= e.policy.HoldAfterMs
 }
 
-// makeHold holds the places that come free soonest, or those from which jobs
-// can be moved at less cost than the wait that it saves.
+// makeHold holds the places that come free soonest, counting jobs that can be
+// moved as free: they run on there until nothing else is in the way.
 func (e *Engine) makeHold(j *job) {
-	sets := e.candidateSets(j)
-	soon := e.soonest(j, sets)
-	move := e.cheapestMove(j, sets)
-	switch {
-	case move != nil && (soon == nil || e.movePays(j, move, soon.until)):
-		if !e.addHold(j, move.spots, e.now, "others move away by checkpoint") {
-			return
-		}
-		for _, m := range move.jobs {
-			e.evict(m, fmt.Sprintf("moves so that job %s can start", j.req.ID))
-		}
-	case soon != nil:
-		e.addHold(j, soon.spots, soon.until, "the places are expected to come free soonest")
-	default:
+	p := e.soonest(j, e.candidateSets(j))
+	if p == nil || !e.yieldHolds(j) {
 		j.holdAfter = e.now + holdRetryMs
+		return
 	}
+	for _, s := range p.spots {
+		for _, h := range slices.Clone(e.holds) {
+			if s.w.held > 0 && h.on(s.w) {
+				e.dropHold(h, fmt.Sprintf("job %s has waited longer", j.req.ID))
+			}
+		}
+	}
+	e.addHold(j, p.spots, p.until)
+	e.stepAside(j.hold)
+	e.moveFor(j.hold)
 }
 
-// addHold makes the hold unless too much of the pool is held already.
-func (e *Engine) addHold(j *job, spots []spot, until int64, why string) bool {
-	held, size := j.accelerators(), 0
-	for _, h := range e.holds {
-		held += h.job.accelerators()
-	}
+// yieldHolds reports whether the bounds leave room for a hold of j beside those
+// of jobs that arrived before it, and gives up later ones that are in the way.
+func (e *Engine) yieldHolds(j *job) bool {
+	size := 0
 	for _, z := range e.pool.zones {
 		size += z.index[viewSize].total[1]
 	}
-	if float64(held) > maxHeldShare*float64(size) && len(e.holds) > 0 {
-		j.holdAfter = e.now + holdRetryMs
-		return false
+	limit := int(maxHeldShare * float64(size))
+	byAge := slices.Clone(e.holds)
+	slices.SortFunc(byAge, func(a, b *hold) int { return compareJobs(a.job, b.job) })
+	held, count := j.accelerators(), 1
+	for _, h := range byAge {
+		fits := held+h.job.accelerators() <= limit && count < e.policy.MaxHolds
+		if !fits && compareJobs(h.job, j) < 0 {
+			return false
+		}
+		if !fits {
+			e.dropHold(h, fmt.Sprintf("job %s has waited longer", j.req.ID))
+			continue
+		}
+		held += h.job.accelerators()
+		count++
 	}
+	return true
+}
+
+func (e *Engine) addHold(j *job, spots []spot, until int64) {
 	h := &hold{job: j, spots: spots, until: until}
 	j.hold = h
 	e.holds = append(e.holds, h)
@@ -99,13 +111,27 @@
 	}
 	e.decide(Decision{
 		Kind: Hold, Job: j.req.ID, Workspace: j.req.Workspace, Accelerators: j.accelerators(),
-		Reason: fmt.Sprintf("blocked for %d s; %s", (e.now-j.req.ArrivedMs)/1000, why),
+		Reason: fmt.Sprintf("blocked for %d s; the places should be free in %d s",
+			(e.now-j.req.ArrivedMs)/1000, (until-e.now)/1000),
 	})
-	return true
+}
+
+// heldWorkers returns the workers of all holds, or nil if there are none.
+func (e *Engine) heldWorkers() map[*worker]bool {
+	if len(e.holds) == 0 {
+		return nil
+	}
+	out := map[*worker]bool{}
+	for _, h := range e.holds {
+		for _, s := range h.spots {
+			out[s.w] = true
+		}
+	}
+	return out
 }
 
 func (e *Engine) dropHold(h *hold, reason string) {
-	if h == nil {
+	if h == nil || h.job.hold != h {
 		return
 	}
 	h.job.hold = nil
@@ -120,9 +146,27 @@
 	}
 }
 
+func (h *hold) on(w *worker) bool {
+	return slices.ContainsFunc(h.spots, func(s spot) bool { return s.w == w })
+}
+
+// senior returns the workers of the holds of jobs that arrived before j.
+func (e *Engine) senior(j *job) map[*worker]bool {
+	out := map[*worker]bool{}
+	for _, h := range e.holds {
+		if compareJobs(h.job, j) > 0 {
+			continue
+		}
+		for _, s := range h.spots {
+			out[s.w] = true
+		}
+	}
+	return out
+}
+
 func (e *Engine) dropHoldsOn(w *worker) {
 	for _, h := range slices.Clone(e.holds) {
-		if slices.ContainsFunc(h.spots, func(s spot) bool { return s.w == w }) {
+		if h.on(w) {
 			e.dropHold(h, fmt.Sprintf("worker %s of the held places is gone", w.vm.ID))
 		}
 	}
@@ -131,7 +175,7 @@
 // serveHolds starts the jobs whose held places are all free.
 func (e *Engine) serveHolds() {
 	for _, h := range slices.Clone(e.holds) {
-		if !h.free() {
+		if h.job.hold != h || !h.free() {
 			continue
 		}
 		mode := model.Spare
@@ -156,6 +200,11 @@
 // pressHolds evicts borrowers that stay on held places past their time.
 func (e *Engine) pressHolds() {
 	for _, h := range slices.Clone(e.holds) {
+		if h.job.hold != h {
+			continue // given up for another
+		}
+		e.stepAside(h)
+		e.moveFor(h)
 		if e.now < h.until+e.policy.HoldGraceMs {
 			continue
 		}
@@ -163,18 +212,20 @@
 			e.press(h, s)
 		}
 		if !h.free() && !slices.ContainsFunc(h.spots, func(s spot) bool { return leavingOn(s.w) > 0 }) {
-			h.job.holdAfter = e.now + holdRetryMs
-			e.dropHold(h, "work that can't be evicted stays on the held places")
+			// What can't be evicted stays: look again, most likely the same
+			// places are still the first to come free.
+			j := h.job
+			e.dropHold(h, "")
+			e.makeHold(j)
 		}
 	}
 }
 
-// press evicts only jobs that arrived after the one that waits: two gangs that
-// each outlast their estimates would otherwise evict each other for ever.
+// press evicts borrowers until the spot can be free.
 func (e *Engine) press(h *hold, s spot) {
 	need := s.tasks * h.job.req.Shape.Each
 	for s.w.free()+leavingOn(s.w) < need {
-		victim := e.cheapest(s.w, func(x *job) bool { return compareJobs(x, h.job) > 0 })
+		victim := e.cheapest(s.w, func(x *job) bool { return pressable(x, h.job) })
 		if victim == nil {
 			return
 		}
@@ -289,17 +340,21 @@
 // plan is a way to make places free.
 type plan struct {
 	spots []spot
-	until int64  // when they are expected to be free
-	jobs  []*job // to move away first
-	cost  int64  // of moving, in accelerator-ms
+	until int64 // when they are expected to be free
+	cost  int64 // of the moves, in accelerator-ms
 }
 
-// soonest returns the plan that waits for the earliest ends.
+// soonest returns, of the places that no job with more seniority holds, the plan with the earliest time, and of those the one with
+// the cheapest moves.
 func (e *Engine) soonest(j *job, sets [][]*worker) *plan {
 	var best *plan
+	taken := e.senior(j)
 	for _, set := range sets {
-		p := e.waitPlan(j, set)
-		if p != nil && (best == nil || p.until < best.until) {
+		p := e.waitPlan(j, set, taken)
+		if p == nil {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(p.until, best.until), cmp.Compare(p.cost, best.cost)) < 0 {
 			best = p
 		}
 	}
@@ -343,21 +398,21 @@
 
 // waitPlan finds the time at which the set has room for the whole gang if jobs
 // end as expected.
-func (e *Engine) waitPlan(j *job, set []*worker) *plan {
+func (e *Engine) waitPlan(j *job, set []*worker, taken map[*worker]bool) *plan {
 	k := j.req.Shape.Each
 	later := map[*worker]future{}
 	room := map[*worker]int{}
 	slots := 0
 	var ends []end
 	for _, w := range set {
-		if w.state != workerUp || w.held > 0 || j.avoid[w] {
+		if w.state != workerUp || taken[w] || j.avoid[w] {
 			continue
 		}
 		later[w] = futureOf(w)
 		room[w] = later[w].room(j, w)
 		slots += room[w] / k
 		for _, x := range w.jobs {
-			ends = append(ends, end{e.expectedEnd(x), w, x})
+			ends = append(ends, end{e.expectedEnd(x, j), w, x})
 		}
 	}
 	slices.SortStableFunc(ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
@@ -375,20 +430,41 @@
 	if slots < j.req.Shape.Tasks {
 		return nil
 	}
-	return &plan{spots: gather(set, room, j.req.Shape), until: until}
+	p := &plan{spots: gather(set, room, j.req.Shape), until: until}
+	for _, s := range p.spots {
+		for _, x := range e.movables(j, s.w) {
+			p.cost += e.policy.MoveCostMs * int64(e.usedOn(x, s.w))
+		}
+	}
+	return p
 }
 
-// expectedEnd is when a started job should end; one that overstays is expected
-// to run on for half of what it has run.
-func (e *Engine) expectedEnd(j *job) int64 {
-	return max(j.expect, e.now+(e.now-j.started)/2)
+// expectedEnd is when a started job should be out of j's way: now if it can be
+// moved, else at its end; one that overstays is expected to run on for half of
+// what it has run.
+func (e *Engine) expectedEnd(x, j *job) int64 {
+	if e.movable(x, j) {
+		return e.now
+	}
+	return e.ownEnd(x)
+}
+
+// pressable reports whether x may be stopped for j: it can be run again and
+// arrived later. Two gangs that each outlast their estimates would otherwise
+// stop each other for ever.
+func pressable(x, j *job) bool {
+	return x.mode == model.Borrowed && compareJobs(x, j) > 0
 }
 
+func (e *Engine) ownEnd(x *job) int64 { return max(x.expect, e.now+(e.now-x.started)/2) }
+
 // gather takes the gang's tasks from the workers with the most room, so that
 // they are on few.
 func gather(set []*worker, room map[*worker]int, shape model.Shape) (spots []spot) {
 	order := slices.Clone(set)
-	slices.SortStableFunc(order, func(a, b *worker) int { return cmp.Compare(room[b], room[a]) })
+	slices.SortStableFunc(order, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(room[b], room[a]), cmp.Compare(b.free(), a.free()))
+	})
 	n := shape.Tasks
 	for _, w := range order {
 		if take := min(room[w]/shape.Each, n); take > 0 {
@@ -399,101 +475,59 @@
 	return spots
 }
 
-// movePays compares the accelerator-time that the gang would wait with what
-// moving the others costs.
-func (e *Engine) movePays(j *job, move *plan, until int64) bool {
-	if e.policy.MigrateGain <= 0 {
+// movable reports whether x may be moved for j: it loses little, is smaller,
+// and was not moved often, so that jobs don't move each other in turn.
+func (e *Engine) movable(x, j *job) bool {
+	if x.mode != model.Borrowed || x.leaving || x.state != jobStarted || e.policy.MigrateGain <= 0 {
 		return false
 	}
-	gain := float64(until-e.now) * float64(j.accelerators())
-	return gain >= e.policy.MigrateGain*float64(move.cost)
-}
-
-// cheapestMove returns the plan that moves the least work by checkpoint, if
-// the moved jobs have room elsewhere.
-func (e *Engine) cheapestMove(j *job, sets [][]*worker) *plan {
-	if e.policy.MigrateGain <= 0 {
-		return nil
-	}
-	var best *plan
-	for _, set := range sets {
-		p := e.movePlan(j, set)
-		if p != nil && (best == nil || p.cost < best.cost) {
-			best = p
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	open, moved := -j.accelerators(), 0
-	for _, z := range e.pool.zones {
-		open += z.index[viewOpen].total[1]
-	}
-	for _, m := range best.jobs {
-		moved += m.accelerators()
-		open += m.accelerators()
-	}
-	if open < moved {
-		return nil
-	}
-	return best
+	cheap := x.req.Checkpoint || e.now-x.started <= e.policy.MoveCostMs
+	return cheap && x.moves < maxMoves && x.accelerators() < j.accelerators()
 }
 
-func (e *Engine) movePlan(j *job, set []*worker) *plan {
-	room := map[*worker]int{}
-	for _, w := range set {
-		if w.state != workerUp || w.held > 0 || j.avoid[w] {
-			continue
-		}
-		later := futureOf(w)
-		for _, x := range w.jobs {
-			if movable(x, j) {
-				later = later.without(x, e.usedOn(x, w))
+// moveFor moves jobs off the held places, once that alone makes all of them
+// free and pays: the wait that it saves the gang weighs more than the moves.
+func (e *Engine) moveFor(h *hold) {
+	var moves []*job
+	wait, cost := int64(0), int64(0)
+	for _, s := range h.spots {
+		need := s.tasks * h.job.req.Shape.Each
+		later := futureOf(s.w)
+		for _, x := range e.movables(h.job, s.w) {
+			if min(s.w.size-later.firm-later.borrowed, later.room(h.job, s.w)) >= need {
+				break
+			}
+			later = later.without(x, e.usedOn(x, s.w))
+			if slices.Contains(moves, x) {
+				continue
 			}
+			moves = append(moves, x)
+			wait = max(wait, e.ownEnd(x)-e.now)
+			cost += e.policy.MoveCostMs * int64(x.accelerators())
+		}
+		if later.room(h.job, s.w) < need {
+			return
 		}
-		room[w] = later.room(j, w)
-	}
-	spots := gather(set, room, j.req.Shape)
-	n := 0
-	for _, s := range spots {
-		n += s.tasks
-	}
-	if n < j.req.Shape.Tasks {
-		return nil
 	}
-	p := &plan{spots: spots}
-	for _, s := range spots {
-		e.addMoves(p, j, s)
+	if float64(wait)*float64(h.job.accelerators()) < e.policy.MigrateGain*float64(cost) {
+		return
 	}
-	return p
-}
-
-// movable reports whether x may be moved for j: a gang only if it arrived
-// later, so that gangs don't move each other in turn.
-func movable(x, j *job) bool {
-	if x.mode != model.Borrowed || !x.req.Checkpoint || x.leaving || x.state != jobStarted {
-		return false
+	for _, x := range moves {
+		x.moves++
+		e.evict(x, fmt.Sprintf("moves so that job %s can start", h.job.req.ID))
 	}
-	return x.req.Shape.Tasks == 1 || compareJobs(x, j) > 0
 }
 
-// addMoves adds jobs to the plan until the spot is free, the cheapest first.
-func (e *Engine) addMoves(p *plan, j *job, s spot) {
-	later := futureOf(s.w)
-	for _, m := range p.jobs {
-		later = later.without(m, e.usedOn(m, s.w))
-	}
-	able := slices.Clone(s.w.jobs)
-	slices.SortStableFunc(able, func(a, b *job) int { return cmp.Compare(e.loss(a), e.loss(b)) })
-	for _, m := range able {
-		if later.room(j, s.w) >= s.tasks*j.req.Shape.Each {
-			return
+// movables lists what may be moved off a worker for j, the least loss first.
+func (e *Engine) movables(j *job, w *worker) []*job {
+	var out []*job
+	for _, x := range w.jobs {
+		if e.movable(x, j) {
+			out = append(out, x)
 		}
-		if !movable(m, j) || slices.Contains(p.jobs, m) {
-			continue
-		}
-		later = later.without(m, e.usedOn(m, s.w))
-		p.jobs = append(p.jobs, m)
-		p.cost += e.policy.MoveCostMs * int64(m.accelerators())
 	}
+	slices.SortStableFunc(out, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(e.loss(a), e.loss(b)), cmp.Compare(a.req.ID, b.req.ID))
+	})
+	return out
 }
--- a/internal/place/pass.go
+++ b/internal/place/pass.go
@@ -76,24 +76,26 @@
 	return false
 }
 
-// tryStart places the job if the policy lets it: in its workspace's share, on
-// open places, inside a gap of held places, or, if urgent, by eviction.
+// tryStart places the job if the policy lets it: in its workspace's share if
+// nobody has to go, on open places, inside a gap of held places, in its share by
+// evicting borrowers, or, if urgent, wherever borrowers are.
 func (e *Engine) tryStart(j *job) bool {
 	if q := j.ws.conf.Quota; q > 0 && j.ws.inUse+j.accelerators() > q {
 		return false
 	}
-	if c, spots, evict := e.pickClaim(j); c != nil {
-		e.place(j, model.Guaranteed, c, spots, claimReason(c, evict))
+	c, spots, evict := e.pickClaim(j)
+	if c != nil && evict == 0 {
+		e.place(j, model.Guaranteed, c, spots, "uses its share "+c.id)
 		return true
 	}
-	return e.tryProbe(j) || e.tryOpen(j) || e.tryBackfill(j) || e.tryUrgent(j)
-}
-
-func claimReason(c *claim, evict int) string {
-	if evict > 0 {
-		return fmt.Sprintf("reclaims %d accelerators of its share %s", evict, c.id)
+	if e.tryProbe(j) || e.tryOpen(j) || e.tryBackfill(j) {
+		return true
+	}
+	if c != nil {
+		e.place(j, model.Guaranteed, c, spots, fmt.Sprintf("reclaims %d accelerators of its share %s", evict, c.id))
+		return true
 	}
-	return "uses its share " + c.id
+	return e.tryUrgent(j)
 }
 
 const probeReason = "probes a worker after quarantine"
--- a/internal/place/prop_test.go
+++ b/internal/place/prop_test.go
@@ -48,7 +48,7 @@
 		w.noteStart(d)
 	case Evict:
 		if _, ok := w.started[d.Job]; !ok || w.known[d.Job].Idempotent == false || d.Mode != model.Borrowed && !w.known[d.Job].Checkpoint {
-			w.t.Fatalf("evicts %s, which must not be evicted", d.Job)
+			w.t.Fatalf("evicts %s, which must not be evicted: %+v; %+v; started %v", d.Job, d, w.known[d.Job], w.started[d.Job])
 		}
 		w.going[d.Job] = true
 	case Lost:
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -28,6 +28,8 @@
 	expect  int64 // when it is expected to end, in ms
 	leaving bool  // being evicted or lost
 	hold    *hold
+	// moves counts how often it was evicted to make room for a larger job.
+	moves int
 	// holdAfter is when a hold may next be considered, in ms.
 	holdAfter int64
 	// failed and avoid are nil until the first failure.
--- /dev/null
+++ b/internal/place/sim_test.go
@@ -0,0 +1,448 @@
+package place
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"greengageline/pkg/model"
+)
+
+const (
+	minuteMs = int64(60_000)
+	hourMs   = 60 * minuteMs
+)
+
+// simJob is a job with what only the simulator knows.
+type simJob struct {
+	Request
+	realMs    int64
+	leftMs    int64
+	startedMs int64
+	firstMs   int64
+	owed      bool // a reclaim: its workspace has an unused share for it
+}
+
+type simEvent struct {
+	at  int64
+	seq int
+	do  func()
+}
+
+type simHeap []simEvent
+
+func (h simHeap) Len() int { return len(h) }
+func (h simHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h simHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *simHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *simHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// sim drives a scheduler with a workload on a virtual clock.
+type sim struct {
+	s       scheduler
+	now     int64
+	seq     int
+	heap    simHeap
+	jobs    map[string]*simJob
+	attempt map[string]int
+	broken  map[string]bool
+	outage  int64 // end of the table's outage: starts take effect then
+	moveMs  int64
+
+	done    map[string][]float64 // completion in minutes by class of gang
+	reclaim []float64            // seconds
+	frag    float64
+	fragN   int
+	lost    float64 // accelerator-hours
+	busy    float64 // accelerator-hours
+	refused int
+	left    int
+	watch   func(*simJob)
+	hear    func(Decision)
+}
+
+func newSim(s scheduler) *sim {
+	return &sim{
+		s: s, jobs: map[string]*simJob{}, attempt: map[string]int{}, broken: map[string]bool{},
+		done: map[string][]float64{}, moveMs: minuteMs,
+	}
+}
+
+func (m *sim) at(t int64, do func()) {
+	m.seq++
+	heap.Push(&m.heap, simEvent{t, m.seq, do})
+}
+
+func (m *sim) step(ev Event) {
+	for _, d := range m.s.Step(m.now, ev) {
+		if m.hear != nil {
+			m.hear(d)
+		}
+		m.carryOut(d)
+	}
+}
+
+func (m *sim) carryOut(d Decision) {
+	j := m.jobs[d.Job]
+	switch d.Kind {
+	case Start:
+		m.start(j, d)
+	case Evict, Lost:
+		n := m.attempt[d.Job]
+		m.at(max(m.now+2000, m.outage), func() { m.stop(j, n, d.Kind) })
+	case Refuse, GiveUp:
+		m.refused++
+		delete(m.jobs, d.Job)
+	}
+}
+
+func (m *sim) start(j *simJob, d Decision) {
+	m.attempt[j.ID]++
+	n := m.attempt[j.ID]
+	begin := max(m.now, m.outage)
+	j.startedMs = begin
+	if j.firstMs == 0 {
+		j.firstMs = begin
+		if j.owed {
+			m.reclaim = append(m.reclaim, float64(begin-j.ArrivedMs)/1000)
+		}
+	}
+	for _, s := range d.Shares {
+		if m.broken[s.Worker] {
+			m.at(begin+5000, func() { m.fail(j, n, s.Worker) })
+			return
+		}
+	}
+	m.at(begin+j.leftMs, func() { m.finish(j, n) })
+}
+
+func (m *sim) current(j *simJob, n int) bool {
+	return m.jobs[j.ID] == j && m.attempt[j.ID] == n
+}
+
+func (m *sim) fail(j *simJob, n int, worker string) {
+	if !m.current(j, n) {
+		return
+	}
+	m.attempt[j.ID]++
+	m.lost += hours(j, m.now-j.startedMs)
+	m.step(Ended{ID: j.ID, Outcome: Broke, Worker: worker, Requeue: true})
+}
+
+func (m *sim) finish(j *simJob, n int) {
+	if !m.current(j, n) {
+		return
+	}
+	delete(m.jobs, j.ID)
+	if m.watch != nil {
+		m.watch(j)
+	}
+	m.busy += hours(j, j.realMs)
+	class := classOf(j.Shape)
+	m.done[class] = append(m.done[class], float64(m.now-j.ArrivedMs)/float64(minuteMs))
+	m.step(Ended{ID: j.ID, Outcome: Finished})
+}
+
+// stop ends an evicted or lost attempt; a checkpoint keeps what was done, if
+// the job was asked to stop.
+func (m *sim) stop(j *simJob, n int, kind Kind) {
+	if !m.current(j, n) {
+		return
+	}
+	m.attempt[j.ID]++
+	ran := max(m.now-j.startedMs, 0)
+	switch {
+	case kind == Evict && j.Checkpoint:
+		j.leftMs = max(j.leftMs-ran, 0) + m.moveMs
+		m.lost += hours(j, m.moveMs)
+	default:
+		j.leftMs = j.realMs
+		m.lost += hours(j, ran)
+	}
+	m.step(Ended{ID: j.ID, Outcome: Removed, Requeue: true})
+}
+
+func hours(j *simJob, ms int64) float64 {
+	return float64(j.Shape.Accelerators()) * float64(ms) / float64(hourMs)
+}
+
+func classOf(s model.Shape) string {
+	switch n := s.Accelerators(); {
+	case n <= 2:
+		return "small"
+	case n < 16:
+		return "medium"
+	}
+	return "large"
+}
+
+// run drives the workload for the horizon, then until all jobs are done or the
+// limit passes; what is still there then counts as left.
+func (m *sim) run(horizon, limit int64) {
+	for t := int64(0); t < limit; t += 10_000 {
+		m.at(t, func() { m.step(Tick{}) })
+	}
+	for t := 30 * minuteMs; t < horizon; t += minuteMs {
+		m.at(t, func() {
+			m.frag += m.s.Fragmentation()
+			m.fragN++
+		})
+	}
+	for len(m.heap) > 0 {
+		e, _ := heap.Pop(&m.heap).(simEvent)
+		if e.at > limit || (e.at > horizon && len(m.jobs) == 0) {
+			break
+		}
+		m.now = e.at
+		e.do()
+	}
+	m.left = len(m.jobs)
+	for _, j := range m.jobs {
+		m.done[classOf(j.Shape)] = append(m.done[classOf(j.Shape)], float64(limit-j.ArrivedMs)/float64(minuteMs))
+	}
+}
+
+func (m *sim) submit(j *simJob) {
+	j.leftMs = j.realMs
+	m.at(j.ArrivedMs, func() {
+		if m.now < m.outage {
+			m.at(m.outage, func() { m.arrive(j) })
+			return
+		}
+		m.arrive(j)
+	})
+}
+
+func (m *sim) arrive(j *simJob) {
+	m.jobs[j.ID] = j
+	m.step(Arrive{Job: j.Request})
+}
+
+func percentile(v []float64, p float64) float64 {
+	if len(v) == 0 {
+		return math.NaN()
+	}
+	s := slices.Clone(v)
+	slices.Sort(s)
+	return s[min(int(p*float64(len(s))), len(s)-1)]
+}
+
+// site is the size of a user's pool.
+type site struct {
+	name                    string
+	zones, workers, perRack int
+	policy                  Policy
+	guarantees              map[string][]Guarantee
+}
+
+func naidu() site {
+	return site{
+		name: "naidu", zones: 3, workers: 50, perRack: 8, policy: Completion(),
+		guarantees: map[string][]Guarantee{
+			"proofs":  {{Shape: model.Shape{Tasks: 4, Each: 8}, Count: 2}},
+			"cutting": {{Shape: model.Shape{Tasks: 2, Each: 8}, Count: 3}},
+			"letters": {{Shape: model.Shape{Tasks: 1, Each: 4}, Count: 4}},
+			"abroad":  nil,
+		},
+	}
+}
+
+func tatry() site {
+	return site{
+		name: "tatry", zones: 4, workers: 50, perRack: 6, policy: Fragmentation(),
+		guarantees: map[string][]Guarantee{
+			"routes":  {{Shape: model.Shape{Tasks: 4, Each: 8}, Count: 2}},
+			"rosters": {{Shape: model.Shape{Tasks: 3, Each: 8}, Count: 2}},
+			"visits":  {{Shape: model.Shape{Tasks: 1, Each: 4}, Count: 4}},
+			"care":    nil,
+		},
+	}
+}
+
+func (s site) vm(i int) model.VM {
+	rack := i / s.perRack
+	return model.VM{
+		ID: fmt.Sprintf("w%03d", i), Zone: fmt.Sprintf("z%d", rack%s.zones),
+		Rack: fmt.Sprintf("r%02d", rack), Accelerators: 8, Addr: "x:1",
+	}
+}
+
+func (s site) names() []string {
+	var names []string
+	for name := range s.guarantees {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s site) snapshot() Snapshot {
+	snap := Snapshot{Generation: 1, Policy: s.policy}
+	for _, name := range s.names() {
+		snap.Workspaces = append(snap.Workspaces, Workspace{Name: name, Guarantees: s.guarantees[name]})
+	}
+	return snap
+}
+
+func (m *sim) build(s site) {
+	for i := range s.workers {
+		m.step(WorkerUp{VM: s.vm(i)})
+	}
+	m.step(Configure{Snapshot: s.snapshot()})
+	m.step(Ready{})
+}
+
+// shapes are the jobs of a day: weight, shape and run time in minutes.
+var shapes = []struct {
+	weight   float64
+	shape    model.Shape
+	low, hig float64
+}{
+	{0.55, model.Shape{Tasks: 1, Each: 1}, 10, 60},
+	{0.15, model.Shape{Tasks: 1, Each: 2}, 10, 90},
+	{0.12, model.Shape{Tasks: 1, Each: 4}, 20, 120},
+	{0.08, model.Shape{Tasks: 1, Each: 8}, 30, 180},
+	{0.05, model.Shape{Tasks: 2, Each: 8}, 45, 240},
+	{0.03, model.Shape{Tasks: 4, Each: 8}, 60, 240},
+	{0.015, model.Shape{Tasks: 8, Each: 4}, 60, 240},
+	{0.005, model.Shape{Tasks: 12, Each: 8}, 60, 240},
+}
+
+// meanHours is the mean accelerator-hours of a job of the mix.
+func meanHours() float64 {
+	sum := 0.0
+	for _, s := range shapes {
+		sum += s.weight * float64(s.shape.Accelerators()) * (s.low + s.hig) / 2 / 60
+	}
+	return sum
+}
+
+type workload struct {
+	rng   *rand.Rand
+	names []string
+	n     int
+	noise float64 // standard deviation of ln(declared/real)
+}
+
+func (w *workload) job(at int64, pick int) *simJob {
+	s := shapes[pick]
+	real := int64((s.low + (s.hig-s.low)*w.rng.Float64()) * float64(minuteMs))
+	w.n++
+	name := w.names[w.rng.IntN(len(w.names))]
+	return &simJob{
+		Request: Request{
+			ID: fmt.Sprintf("j%06d", w.n), Workspace: name, Class: fmt.Sprintf("c%d", pick), Shape: s.shape,
+			Idempotent: w.rng.Float64() < 0.9, Checkpoint: w.rng.Float64() < 0.6,
+			EstimateMs: max(int64(float64(real)*math.Exp(w.noise*w.rng.NormFloat64())), 1000), ArrivedMs: at,
+		},
+		realMs: real,
+	}
+}
+
+func (w *workload) pick() int {
+	x := w.rng.Float64()
+	for i, s := range shapes {
+		if x -= s.weight; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// steady submits a Poisson stream with the given load on the pool.
+func (w *workload) steady(m *sim, s site) {
+	rate := daysLoad * float64(s.workers*8) / meanHours() / float64(hourMs) // jobs per ms
+	for t := w.rng.ExpFloat64() / rate; t < float64(day); t += w.rng.ExpFloat64() / rate {
+		m.submit(w.job(int64(t), w.pick()))
+	}
+}
+
+// burst submits n jobs of the shapes from..to within a minute.
+func (w *workload) burst(m *sim, at int64, n, from, to int) {
+	for range n {
+		t := at + w.rng.Int64N(minuteMs)
+		m.submit(w.job(t, from+w.rng.IntN(to-from)))
+	}
+}
+
+// scenario is a day with something happening in it.
+type scenario func(w *workload, m *sim, s site)
+
+const (
+	day      = 24 * hourMs
+	daysLoad = 0.9
+)
+
+var scenarios = map[string]scenario{
+	"steady":      func(w *workload, m *sim, s site) { w.steady(m, s) },
+	"small-burst": func(w *workload, m *sim, s site) { w.steady(m, s); w.burst(m, 8*hourMs, 1500, 0, 2) },
+	"large-burst": func(w *workload, m *sim, s site) { w.steady(m, s); w.burst(m, 8*hourMs, 25, 4, 8) },
+	"cancel-wave": func(w *workload, m *sim, s site) {
+		w.steady(m, s)
+		w.burst(m, 8*hourMs, 600, 0, 4)
+		m.at(9*hourMs, m.cancelHalf)
+	},
+	"wrong-sizes": func(w *workload, m *sim, s site) { w.noise = 1.5; w.steady(m, s) },
+	"bad-workers": func(w *workload, m *sim, s site) {
+		w.steady(m, s)
+		m.at(6*hourMs, func() { m.broken["w003"], m.broken["w021"] = true, true })
+		m.at(14*hourMs, func() { m.broken = map[string]bool{} })
+	},
+	"rack-loss": func(w *workload, m *sim, s site) {
+		w.steady(m, s)
+		m.at(8*hourMs, func() {
+			for i := s.perRack; i < 2*s.perRack; i++ {
+				m.step(WorkerLost{ID: s.vm(i).ID})
+			}
+		})
+		m.at(12*hourMs, func() {
+			for i := s.perRack; i < 2*s.perRack; i++ {
+				vm := s.vm(i)
+				vm.ID += "x"
+				m.step(WorkerUp{VM: vm})
+			}
+		})
+	},
+	"outage": func(w *workload, m *sim, s site) {
+		w.steady(m, s)
+		m.at(8*hourMs, func() { m.outage = 8*hourMs + 40*minuteMs })
+	},
+}
+
+// cancelHalf cancels every second queued job.
+func (m *sim) cancelHalf() {
+	var ids []string
+	for id, j := range m.jobs {
+		if j.firstMs == 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for i, id := range ids {
+		if i%2 == 0 {
+			delete(m.jobs, id)
+			m.step(Cancel{ID: id})
+		}
+	}
+}
+
+func newRng(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+// play runs one scenario on one scheduler.
+func play(s site, name string, seed uint64, with scheduler) *sim {
+	m := newSim(with)
+	m.build(s)
+	w := &workload{rng: newRng(seed), names: s.names(), noise: 0.4}
+	scenarios[name](w, m, s)
+	m.run(day, 3*day)
+	return m
+}
