--- a/internal/stand/worker.go
+++ b/internal/stand/worker.go
@@ -73,6 +73,7 @@
 	failAll   bool
 	weak      bool
 	leaving   bool
+	quiet     bool // leaves without saying so or refusing
 	leftAt    time.Time
 	calls     map[string]int
 	slots     int
@@ -109,6 +110,15 @@
 	w.leftAt = w.now()
 }
 
+// LeaveQuietly makes the worker leave without refusing work or saying so, as
+// far as the scheduler can learn only from the VM list.
+func (w *Worker) LeaveQuietly() {
+	w.SetLeaving(true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.quiet = true
+}
+
 // Reset forgets all tasks, as a replaced VM would, but keeps the record.
 func (w *Worker) Reset() {
 	w.mu.Lock()
@@ -224,7 +234,7 @@
 	if !w.obeys(in.Fence) {
 		return out, verdictFenced
 	}
-	if w.leaving {
+	if w.leaving && !w.quiet {
 		return out, verdictLeaving
 	}
 	key := taskKey{in.TaskRef, in.Rank}
@@ -272,7 +282,7 @@
 }
 
 func (w *Worker) run(t *task, in model.Start, now time.Time) {
-	if w.leaving {
+	if w.leaving && now.Sub(w.leftAt) > LeavingGrace {
 		w.late++
 	}
 	t.payload = in.Payload
@@ -307,7 +317,7 @@
 			t.acked = true
 		}
 	}
-	reply := model.RenewReply{Boot: w.boot(), Leaving: w.leaving}
+	reply := model.RenewReply{Boot: w.boot(), Leaving: w.leaving && !w.quiet}
 	for _, t := range w.tasks {
 		if t.cell == in.Cell && !t.acked {
 			reply.Tasks = append(reply.Tasks, t.report())
@@ -402,10 +412,31 @@
 	return runs
 }
 
-// LateStarts returns how many tasks started after the worker began to leave,
-// and when it began.
-func (w *Worker) LateStarts() (n int, leftAt time.Time) {
+// LeavingGrace is how long after a worker began to leave work may still start.
+const LeavingGrace = 5 * time.Second
+
+// LateStarts returns how many tasks started, reserved before, more than
+// LeavingGrace after the worker began to leave.
+func (w *Worker) LateStarts() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.late, w.leftAt
+	return w.late
+}
+
+// Encode returns the work as a payload.
+func (w Work) Encode() []byte {
+	data, err := json.Marshal(w)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// Expected returns the whole answer that a payload leads to.
+func Expected(payload []byte) []byte {
+	t := &task{payload: payload}
+	if json.Unmarshal(payload, &t.work) != nil {
+		t.work = Work{}
+	}
+	return t.answerBytes()
 }
