Add a fault that keeps one member of a gang from starting

Cause: two mechanisms that bound a partial gang (short leases until all members run; giving up a gang that is not whole in time) could each be switched off without a red cell, because no fault struck a single member.

Change: a fault that silences a worker holding a reservation.

--- a/internal/stand/worker.go
+++ b/internal/stand/worker.go
@@ -412,6 +412,20 @@
 	return runs
 }
 
+// Reserved reports whether the worker holds accelerators for a task that has
+// not started.
+func (w *Worker) Reserved() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(w.now())
+	for _, t := range w.tasks {
+		if t.status.Phase == model.PhaseReserved {
+			return true
+		}
+	}
+	return false
+}
+
 // LeavingGrace is how long after a worker began to leave work may still start.
 const LeavingGrace = 5 * time.Second
 
--- a/test/matrix_test.go
+++ b/test/matrix_test.go
@@ -52,6 +52,7 @@
 		time.AfterFunc(longFault, func() { w.SetFailAll(false) })
 	},
 	"lease-lapsed":       func(s *scene, n string) { s.connect(n, s.busiest().VM.Addr, linkSilent, longFault) },
+	"member-silent":      func(s *scene, n string) { s.connect(n, s.reserved().VM.Addr, linkSilent, longFault) },
 	"worker-mute":        func(s *scene, n string) { s.connect(n, s.busiest().VM.Addr, linkMute, longFault) },
 	"workers-cut":        func(s *scene, n string) { s.allWorkers(n, linkCut, shortFault) },
 	"peers-silent":       func(s *scene, n string) { s.allPeers(n, linkSilent, shortFault) },
@@ -118,6 +119,17 @@
 	return best
 }
 
+// reserved returns a worker that holds a reservation, so that a fault can keep
+// one member of a gang from starting; else the busiest.
+func (s *scene) reserved() *stand.Worker {
+	for _, addr := range slices.Sorted(maps.Keys(s.workers)) {
+		if s.workers[addr].Reserved() {
+			return s.workers[addr]
+		}
+	}
+	return s.busiest()
+}
+
 func (s *scene) allWorkers(node string, l link, d time.Duration) {
 	for addr := range s.workers {
 		s.connect(node, addr, l, d)
