--- a/internal/cell/life.go
+++ b/internal/cell/life.go
@@ -42,6 +42,8 @@
 	if !l.whole && l.all(isUp) {
 		l.whole = true
 		o.noteStarted(l)
+		// The short leases of a gang would not outlive the death of this owner.
+		o.renewAll()
 	}
 	for _, m := range l.members {
 		switch m.phase {
--- a/internal/cell/start.go
+++ b/internal/cell/start.go
@@ -201,7 +201,7 @@
 		return o.host.Workers.Start(ctx, m.Addr, model.Start{
 			TaskRef: s.ref(), Fence: s.fence(), Rank: m.Rank, Tasks: m.Tasks,
 			Gang:    s.entry.Job.Spec.Shape.Tasks,
-			LeaseMs: o.host.Settings.StartLease.Milliseconds(),
+			LeaseMs: s.firstLease().Milliseconds(),
 			Payload: s.entry.Job.Spec.Payload,
 		})
 	})
@@ -211,6 +211,16 @@
 	o.post(startTold{s.entry.Job.ID, s.attempt, errs, time.Now()})
 }
 
+// firstLease is the lease with which members start. A gang gets a short one
+// until all its members run, so that no part of it runs alone for long; a job on
+// one worker gets a whole one, so that it outlives the owner that started it.
+func (s *starter) firstLease() time.Duration {
+	if len(s.members) == 1 {
+		return s.o.host.Settings.RunLease
+	}
+	return s.o.host.Settings.StartLease
+}
+
 // noteFenced ends the ownership when a worker obeys a newer owner.
 func (o *Owner) noteFenced(err error) {
 	if errors.Is(err, worker.ErrFenced) {
--- a/internal/place/pass.go
+++ b/internal/place/pass.go
@@ -180,21 +180,22 @@
 	for _, s := range spots {
 		e.makeRoom(s.w, j)
 	}
+	j.reason = reason
 	if j.blocked() {
 		j.state = jobWaiting
 		e.waiting = append(e.waiting, j)
 		return
 	}
-	e.start(j, reason)
+	e.start(j)
 }
 
-func (e *Engine) start(j *job, reason string) {
+func (e *Engine) start(j *job) {
 	j.state = jobStarted
 	j.started = e.now
 	j.expect = e.now + e.guess.expect(j.req)
 	d := Decision{
 		Kind: Start, Job: j.req.ID, Workspace: j.req.Workspace, Mode: j.mode,
-		Accelerators: j.accelerators(), Reason: reason,
+		Accelerators: j.accelerators(), Reason: j.reason,
 	}
 	if j.claim != nil {
 		d.Claim = j.claim.id
@@ -216,7 +217,7 @@
 			continue
 		}
 		e.waiting = slices.DeleteFunc(e.waiting, func(x *job) bool { return x == j })
-		e.start(j, "evictions on its places have ended")
+		e.start(j)
 	}
 }
 
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -28,6 +28,7 @@
 	expect  int64 // when it is expected to end, in ms
 	leaving bool  // being evicted or lost
 	hold    *hold
+	reason  string // of the newest placement
 	// moves counts how often it was evicted to make room for a larger job.
 	moves int
 	// holdAfter is when a hold may next be considered, in ms.
--- a/test/check_test.go
+++ b/test/check_test.go
@@ -22,6 +22,16 @@
 	err     error     // of the submit, if it never got a job
 	answer  []byte
 	gotBack bool
+
+	mu sync.Mutex
+	// id is guarded by mu: others cancel the job while its caller follows it.
+	id string
+}
+
+func (t *told) jobID() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.id
 }
 
 // callers submit jobs, follow them to their ends and remember what they heard.
@@ -57,6 +67,9 @@
 		t.err = err
 		if err == nil {
 			t.job = job
+			t.mu.Lock()
+			t.id = job.ID
+			t.mu.Unlock()
 			break
 		}
 		if errors.Is(err, cell.ErrRefused) || errors.Is(err, cell.ErrKeyReused) {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -106,6 +107,9 @@
 	for i := range nodes {
 		f.addNode(fmt.Sprintf("n%d", i+1), nodes)
 	}
+	for _, m := range f.nodes {
+		m.run()
+	}
 	f.configure()
 	return f
 }
@@ -147,6 +151,10 @@
 	}
 	m.Prepare()
 	f.nodes = append(f.nodes, m)
+}
+
+// run starts a node's duties once all nodes are known.
+func (m *member) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	go func() {
@@ -197,20 +205,22 @@
 	return max(f.links[[2]string{from, to}], f.links[[2]string{from, "*"}]), frozen, f.dead[from] || f.dead[to]
 }
 
-// pass applies what is wrong on the way to a request that deliver carries out.
-func (f *fleet) pass(ctx context.Context, from, to string, notSent, noAnswer error, deliver func()) error {
+// pass applies what is wrong on the way to a request that deliver carries out,
+// and returns its reply if one arrives in time.
+func pass[T any](ctx context.Context, f *fleet, from, to string, notSent, noAnswer error, deliver func() T) (reply T, err error) {
 	l, frozen, dead := f.state(from, to)
-	if dead {
-		return notSent
+	if dead || l == linkCut {
+		return reply, notSent
 	}
-	answered := make(chan struct{})
+	answered := make(chan T, 1)
 	go func() {
-		defer close(answered)
+		var got T
+		defer func() { answered <- got }()
 		if frozen != nil {
 			<-frozen // what was in the socket's buffer is delivered after the thaw
 		}
 		if l == linkFine || l == linkMute || l == linkLate {
-			deliver()
+			got = deliver()
 		}
 		if l == linkLate {
 			time.Sleep(f.between(0, 1200))
@@ -219,18 +229,20 @@
 			<-ctx.Done()
 		}
 	}()
-	if l == linkCut {
-		return notSent
-	}
 	select {
-	case <-answered:
+	case reply = <-answered:
 	case <-ctx.Done():
-		return noAnswer
 	}
 	if ctx.Err() != nil {
-		return noAnswer
+		return reply, noAnswer
 	}
-	return nil
+	return reply, nil
+}
+
+// httpReply is what a handler of a stand-in answers.
+type httpReply struct {
+	status int
+	body   []byte
 }
 
 func (f *fleet) between(low, high int) time.Duration {
@@ -240,20 +252,20 @@
 }
 
 // send carries a request to the platform or a worker.
-func (f *fleet) send(ctx context.Context, from, addr, method, path string, body []byte) (status int, answer []byte, err error) {
+func (f *fleet) send(ctx context.Context, from, addr, method, path string, body []byte) (int, []byte, error) {
 	handle := f.platform.Handle
-	to := addr
 	if w := f.workers[addr]; w != nil {
 		handle = w.Handle
 	}
 	body = bytes.Clone(body)
-	err = f.pass(ctx, from, to, wire.ErrNotSent, wire.ErrNoAnswer, func() {
-		status, answer = handle(method, path, body)
+	r, err := pass(ctx, f, from, addr, wire.ErrNotSent, wire.ErrNoAnswer, func() httpReply {
+		status, answer := handle(method, path, body)
+		return httpReply{status, answer}
 	})
-	if err == nil && status == 0 {
+	if err == nil && r.status == 0 {
 		err = wire.ErrNoAnswer
 	}
-	return status, answer, err
+	return r.status, r.body, err
 }
 
 // invoke carries a request to another node.
@@ -267,40 +279,37 @@
 	if to == nil {
 		return peer.ErrUnreached
 	}
-	var failed error
-	err := f.pass(ctx, from, to.name, peer.ErrUnreached, peer.ErrNoAnswer, func() {
-		failed = dispatch(ctx, to.Handlers(), in, out)
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
-func dispatch(ctx context.Context, h *peer.Handlers, in, out any) (err error) {
 	switch in := in.(type) {
 	case *peer.Beat:
-		return answer(out, in, func() (*peer.Beat, error) { return h.Beat(ctx, in) })
+		return carry(ctx, f, from, to, *in, out, to.Handlers().Beat)
 	case *peer.SubmitIn:
-		return answer(out, in, func() (*peer.JobOut, error) { return h.Submit(ctx, in) })
+		return carry(ctx, f, from, to, *in, out, to.Handlers().Submit)
 	case *peer.JobIn:
-		return answer(out, in, func() (*peer.JobOut, error) { return h.Job(ctx, in) })
+		return carry(ctx, f, from, to, *in, out, to.Handlers().Job)
 	case *peer.CallIn:
-		return answer(out, in, func() (*peer.CallOut, error) { return h.Call(ctx, in) })
+		return carry(ctx, f, from, to, *in, out, to.Handlers().Call)
 	}
 	return fmt.Errorf("unknown message %T", in)
 }
 
-func answer[O any](out, _ any, f func() (*O, error)) error {
-	got, err := f()
-	if err != nil {
-		return err
+// carry passes a copy of the message to a node's handler.
+func carry[I, O any](ctx context.Context, f *fleet, from string, to *member, in I, out any, h func(context.Context, *I) (*O, error)) error {
+	type result struct {
+		out *O
+		err error
+	}
+	r, err := pass(ctx, f, from, to.name, peer.ErrUnreached, peer.ErrNoAnswer, func() result {
+		got, err := h(ctx, &in)
+		return result{got, err}
+	})
+	if err != nil || r.err != nil {
+		return errors.Join(err, r.err)
 	}
-	to, ok := out.(*O)
-	if !ok {
-		return fmt.Errorf("answer of type %T does not fit", out)
+	into, ok := out.(*O)
+	if !ok || r.out == nil {
+		return peer.ErrNoAnswer
 	}
-	*to = *got
+	*into = *r.out
 	return nil
 }
 
--- a/test/matrix_test.go
+++ b/test/matrix_test.go
@@ -163,8 +163,8 @@
 	list := slices.Clone(s.calls.list)
 	s.calls.mu.Unlock()
 	for i, t := range list {
-		if i%2 == 1 && t.job.ID != "" {
-			_, _ = try(s.calls, func(ctx context.Context, m *member) (model.Job, error) { return m.Cancel(ctx, t.job.ID) })
+		if id := t.jobID(); i%2 == 1 && id != "" {
+			_, _ = try(s.calls, func(ctx context.Context, m *member) (model.Job, error) { return m.Cancel(ctx, id) })
 		}
 	}
 }
@@ -221,8 +221,9 @@
 func (s *scene) story() []string {
 	c := s.calls
 	var gens generations
-	stop := make(chan struct{})
+	stop, watched := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(watched)
 		for {
 			select {
 			case <-stop:
@@ -244,8 +245,8 @@
 	c.submit(job("proofs", "large", 1, 1, true, 1_000, strings.Repeat("abcdefghijklmnopqrstuvwxyz", 2000)[:50_000]))
 	victim := c.submit(job("routes", "victim", 1, 1, true, 20_000, ""))
 	time.Sleep(3 * time.Second)
-	if victim.job.ID != "" {
-		_, _ = try(c, func(ctx context.Context, m *member) (model.Job, error) { return m.Cancel(ctx, victim.job.ID) })
+	if id := victim.jobID(); id != "" {
+		_, _ = try(c, func(ctx context.Context, m *member) (model.Job, error) { return m.Cancel(ctx, id) })
 	}
 	s.reached(s.nodes[0].name, stepDeliver, "")
 	s.reached(s.nodes[0].name, stepPush, "")
@@ -253,6 +254,7 @@
 	s.drainOwner()
 	c.wg.Wait()
 	close(stop)
+	<-watched
 	wrong := append(c.check(), gens.bad...)
 	return append(wrong, s.raced...)
 }
