Prove short requests and bad input, and spread a new generation at once

Cause: a node that had not polled yet refused a request because its workspace was not configured, although the change had been accepted seconds before. Seen by TestRepeatedVisitGetsTheFirstAnswer on its first run.

Ruled out: polling faster, which costs every node reads for ever.

Change: the node that accepts a generation tells its peers at once and they fetch it; a node without any configuration says not ready.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -23,6 +23,9 @@
 // others get a row with their key before they are sent, once.
 func (n *Node) Request(ctx context.Context, s model.RequestSpec) ([]byte, error) {
 	plan, _ := n.plan()
+	if plan.Generation == 0 {
+		return nil, fmt.Errorf("%w: no configuration has been read yet", cell.ErrNotReady)
+	}
 	if _, ok := plan.Workspaces[s.Workspace]; !ok {
 		return nil, fmt.Errorf("%w: workspace %q is not configured", cell.ErrRefused, s.Workspace)
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -99,6 +99,7 @@
 	n.Log.Emit(event.ConfigAccepted).Uint64("generation", generation).Str("author", c.Author).
 		Str("note", c.Note).Send()
 	n.followConfig(ctx)
+	n.mesh.turn(ctx) // peers hear of the generation and fetch it at once
 	return generation, nil
 }
 
--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -110,3 +111,34 @@
 		}
 	}
 }
+
+// BenchmarkState measures the memory of an engine for each worker with its jobs.
+func BenchmarkState(b *testing.B) {
+	for _, n := range []int{400, 4_000, 52_000} {
+		b.Run(fmt.Sprintf("accelerators=%d", n), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				e := bigPool(n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n/2), "B/worker+1.8-jobs")
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
+				runtime.KeepAlive(e)
+			}
+		})
+	}
+}
+
+// BenchmarkRebuild measures the engine's part of a takeover: n/2 workers, a
+// running job on nine tenths of the accelerators, and all shares.
+func BenchmarkRebuild(b *testing.B) {
+	for _, n := range []int{400, 4_000, 52_000} {
+		b.Run(fmt.Sprintf("accelerators=%d", n), func(b *testing.B) {
+			for range b.N {
+				bigPool(n)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/model/fuzz_test.go
@@ -0,0 +1,79 @@
+package model
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// FuzzJobSpec checks that whatever decodes passes its own check, survives a
+// round trip, and that whatever does not is reported as invalid.
+func FuzzJobSpec(f *testing.F) {
+	for _, seed := range []string{
+		`{"workspace":"a","key":"k","shape":{"tasks":2,"each":8},"estimate_ms":5}`,
+		`{"workspace":"a","workspace":"b"}`, `{"shape":{"tasks":1e9}}`, `[`, `{}{}`, `null`,
+		`{"workspace":"a","key":"k","shape":{"tasks":1,"each":1},"estimate_ms":5,"payload":"aGk="}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s JobSpec
+		if err := Decode(data, &s); err != nil {
+			if !errors.Is(err, ErrInvalid) {
+				t.Fatalf("error of another kind: %v", err)
+			}
+			return
+		}
+		if err := s.Check(); err != nil {
+			t.Fatalf("decoded, but fails its check: %v", err)
+		}
+		again, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back JobSpec
+		if err := Decode(again, &back); err != nil {
+			t.Fatalf("does not survive a round trip: %v", err)
+		}
+	})
+}
+
+// FuzzRequestSpec does the same for short requests.
+func FuzzRequestSpec(f *testing.F) {
+	f.Add([]byte(`{"workspace":"a","key":"k","deadline_ms":5}`))
+	f.Add([]byte(`{"workspace":"a","idempotent":true}`))
+	f.Add([]byte(`{"workspace":"a"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s RequestSpec
+		if err := Decode(data, &s); err != nil {
+			if !errors.Is(err, ErrInvalid) {
+				t.Fatalf("error of another kind: %v", err)
+			}
+			return
+		}
+		if err := s.Check(); err != nil {
+			t.Fatalf("decoded, but fails its check: %v", err)
+		}
+	})
+}
+
+func TestAnswerIsWholeOrNotAtAll(t *testing.T) {
+	is := is.New(t)
+	a := NewAnswer([]byte("proof"))
+	is.True(a.Verify([]byte("proof")))
+	is.True(!a.Verify([]byte("proo")))  // cut short
+	is.True(!a.Verify([]byte("prook"))) // changed
+	is.True(!a.Verify(nil))
+}
+
+func TestWithMethodsLeaveTheOriginalAlone(t *testing.T) {
+	is := is.New(t)
+	j := Job{State: Accepted}.WithState(Accepted, 1, "a")
+	k := j.WithState(Done, 2, "b").WithFailedOn("w1")
+	is.Equal(len(j.Notes), 1)
+	is.Equal(j.State, Accepted)
+	is.Equal(len(j.FailedOn), 0)
+	is.Equal(k.EndedMs, int64(2))
+}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -39,7 +39,7 @@
 
 // cluster is real node processes behind proxies, with stand-ins in the test.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *stand.Platform
 	workers  []*stand.Worker
 	servers  []*stand.Server
@@ -57,7 +57,7 @@
 	err                error
 }
 
-func serveOn(t *testing.T, h stand.Handler) (*stand.Server, string) {
+func serveOn(t testing.TB, h stand.Handler) (*stand.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -69,7 +69,7 @@
 	return s, l.Addr().String()
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,7 +79,7 @@
 	return l.Addr().String()
 }
 
-func newCluster(t *testing.T, nodes, workers int) *cluster {
+func newCluster(t testing.TB, nodes, workers int) *cluster {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("process tests take seconds of real time")
@@ -117,7 +117,7 @@
 	c.workers, c.servers, c.toWorker = append(c.workers, w), append(c.servers, s), append(c.toWorker, p)
 }
 
-func (p *process) start(t *testing.T, peers string) {
+func (p *process) start(t testing.TB, peers string) {
 	t.Helper()
 	self, err := os.Executable()
 	if err != nil {
@@ -150,7 +150,7 @@
 	return p.err
 }
 
-func (p *process) signal(t *testing.T, s syscall.Signal) {
+func (p *process) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
 		t.Fatal(err)
@@ -166,7 +166,7 @@
 	c.owner()
 }
 
-func (c *cluster) await(what string, limit time.Duration, ok func() bool) time.Duration {
+func (c *cluster) await(what string, limit time.Duration, ok func() bool) {
 	c.t.Helper()
 	began := time.Now()
 	for !ok() {
@@ -175,7 +175,6 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return time.Since(began)
 }
 
 // owner waits for a node that owns the cell and decides.
@@ -225,7 +224,7 @@
 	return j
 }
 
-func (c *cluster) done(with *client.Client, j model.Job) model.Job {
+func (c *cluster) done(with *client.Client, j model.Job) {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
@@ -240,7 +239,6 @@
 	if err != nil || string(data) != want(j.Spec) {
 		c.t.Fatalf("answer of %s: %q, %v", j.Spec.Key, data, err)
 	}
-	return end
 }
 
 // runs counts the attempts of a job that really started, and when the first did.
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -11,6 +12,8 @@
 type proxy struct {
 	l      net.Listener
 	target string
+	// relayed counts the bytes both ways.
+	relayed atomic.Int64
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -21,7 +24,7 @@
 	conns  map[net.Conn]bool // true for those that went silent for good
 }
 
-func newProxy(t *testing.T, target string) *proxy {
+func newProxy(t testing.TB, target string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -83,6 +86,7 @@
 		if err != nil {
 			return
 		}
+		p.relayed.Add(int64(n))
 		p.mu.Lock()
 		drop := p.silent || p.conns[key] || (p.mute && answers)
 		delay := p.delay
