Charge usage under the cost agreement in force

Ruled out: charging from jobs' rows at their ends, because a job that runs over a renegotiation belongs to two agreements.

Change: a cell's owner charges the time of all listed accelerators, split by the agreement that was in force during it, and the time that workspaces held, once every 10 s in one transaction; a new owner charges from the last durable moment.

--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -47,6 +47,7 @@
 	workers  map[string]*workerState
 	plan     uint64 // generation that the engine has
 	stats    atomic.Pointer[place.Stats]
+	account  account
 }
 
 // workerState is what the owner knows of one worker.
@@ -159,6 +160,7 @@
 func (o *Owner) tickEvery() time.Duration { return o.host.Settings.RunRenew / 2 }
 
 func (o *Owner) tick() {
+	o.charge()
 	o.refresh()
 	o.step(place.Tick{})
 	o.checkJobs()
--- a/internal/cell/rebuild.go
+++ b/internal/cell/rebuild.go
@@ -35,6 +35,7 @@
 		o.restore(e)
 	}
 	o.step(place.Ready{})
+	o.openAccount()
 	o.ready.Store(true)
 	o.renewAll()
 	s := o.engine.Stats()
--- a/internal/cmds/look.go
+++ b/internal/cmds/look.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"greengageline/internal/cell"
 	"greengageline/internal/node"
 	"greengageline/internal/oper"
 	"greengageline/internal/place"
@@ -52,6 +55,38 @@
 	return b.String()
 }
 
+func (a *app) usage() *ffcli.Command {
+	fs := a.clientFlags("usage")
+	return command("usage", "usage [flags] CELL", "print what each generation's cost agreement was charged",
+		"Accelerator-hours of the pool, split between partners, and what workspaces held.\n\nExample:\n  greengageline usage viti", fs,
+		func(ctx context.Context, args []string) error {
+			name, err := oneArg(args, "cell")
+			if err != nil {
+				return err
+			}
+			var all []cell.Usage
+			if err := a.client().Do(ctx, http.MethodGet, "/v1/usage/"+url.PathEscape(name), nil, &all); err != nil {
+				return err
+			}
+			return a.print(all, func() string { return usageText(all) })
+		})
+}
+
+func usageText(all []cell.Usage) string {
+	const hour = float64(time.Hour / time.Millisecond)
+	var b strings.Builder
+	for _, u := range all {
+		fmt.Fprintf(&b, "generation %d: pool %.3f accelerator-hours\n", u.Generation, float64(u.Pool)/hour)
+		for _, p := range slices.Sorted(maps.Keys(u.Partners)) {
+			fmt.Fprintf(&b, "  partner %-20s %.3f\n", p, u.Partners[p]/hour)
+		}
+		for _, ws := range slices.Sorted(maps.Keys(u.Workspaces)) {
+			fmt.Fprintf(&b, "  workspace %-18s %.3f\n", ws, float64(u.Workspaces[ws])/hour)
+		}
+	}
+	return b.String()
+}
+
 func (a *app) node() *ffcli.Command {
 	return group("node", "list or drain entry nodes", a.nodeList(), a.nodeDrain())
 }
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -9,6 +9,7 @@
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
 
 	"greengageline/internal/caller"
+	"greengageline/internal/cell"
 	"greengageline/internal/config"
 	"greengageline/internal/event"
 	"greengageline/internal/node"
@@ -36,6 +37,7 @@
 	app.Get("/v1/config", a.show)
 	app.Post("/v1/config", a.change)
 	app.Get("/v1/config/log", a.log)
+	app.Get("/v1/usage/:cell", a.usage)
 	app.Post("/v1/drain", a.drain)
 }
 
@@ -99,6 +101,16 @@
 	return c.JSON(entries)
 }
 
+func (a *API) usage(c *fiber.Ctx) error {
+	ctx, cancel := context.WithTimeout(c.Context(), opTimeout)
+	defer cancel()
+	all, err := cell.ReadUsage(ctx, a.Node.Host.Table, c.Params("cell"))
+	if err != nil {
+		return fail(c, err)
+	}
+	return c.JSON(all)
+}
+
 // Explanation is a job's story from its stored state.
 type Explanation struct {
 	Job   model.Job `json:"job"`
--- a/test/check_test.go
+++ b/test/check_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -155,6 +157,7 @@
 		c.checkOne(v, t, byJob[t.job.ID])
 	}
 	c.checkUnheard(v, byJob)
+	c.checkUsage(v)
 	return v.faults
 }
 
@@ -265,6 +268,38 @@
 	}
 }
 
+// checkUsage verifies that every generation's pool time is split by shares that
+// add up to it, and that no time is charged twice or left out in between.
+func (c *callers) checkUsage(v *verdict) {
+	rows := c.f.platform.Rows.Dump("usage/viti/")
+	var to int64
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		var u cell.Usage
+		if err := model.Decode(rows[key], &u); err != nil {
+			v.add("row %s: %v", key, err)
+			continue
+		}
+		sum := 0.0
+		for _, part := range u.Partners {
+			sum += part
+		}
+		if u.Generation > 0 && math.Abs(sum-float64(u.Pool)) > 1 {
+			v.add("generation %d: %d accelerator-ms of the pool, %.0f charged to partners", u.Generation, u.Pool, sum)
+		}
+		size := 0
+		for _, w := range c.f.workers {
+			size += w.VM.Accelerators
+		}
+		if most := (u.ToMs - u.FromMs) * int64(size); u.Pool > most {
+			v.add("generation %d: %d accelerator-ms charged of at most %d", u.Generation, u.Pool, most)
+		}
+		if to != 0 && u.FromMs != to {
+			v.add("generation %d is charged from %d, the one before until %d", u.Generation, u.FromMs, to)
+		}
+		to = u.ToMs
+	}
+}
+
 // generations watches that no node's configuration goes back.
 type generations struct {
 	seen map[string]uint64
