Read a body that is too large before refusing it

Cause: a caller still sending a body over the limit saw a broken connection instead of 413, and so could not know that nothing ran. Seen once by TestBadInputIsRefusedWithItsField/too_large on a clean clone, under load.

Ruled out: a longer test timeout; the server closed while the body was on its way.

Change: bodies of up to eight times the limit are read and then refused.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -162,9 +162,10 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	p.app = fiber.New(fiber.Config{
-		DisableStartupMessage: true, BodyLimit: p.settings.MaxBody, Immutable: true,
+		DisableStartupMessage: true, BodyLimit: readFactor * p.settings.MaxBody, Immutable: true,
 		ErrorHandler: answerError,
 	})
+	p.app.Use(p.limitBody)
 	(&caller.API{Node: p.Node}).Mount(p.app)
 	(&oper.API{Node: p.Node, Stop: p.AskStop}).Mount(p.app)
 	p.rpc = peer.NewServer(p.Node.Handlers())
@@ -179,6 +180,17 @@
 	return nil
 }
 
+// readFactor is how many times the largest body is read before the connection
+// is cut: a caller that is still sending would not see the answer otherwise.
+const readFactor = 8
+
+func (p *Process) limitBody(c *fiber.Ctx) error {
+	if len(c.Body()) > p.settings.MaxBody {
+		return fiber.ErrRequestEntityTooLarge
+	}
+	return c.Next()
+}
+
 // answerError gives errors of the HTTP layer the form of all others.
 func answerError(c *fiber.Ctx, err error) error {
 	p := caller.Problem{Error: "http", Message: err.Error(), Ran: "no", Next: "correct the request"}
