Refuse queued jobs that can no longer run, and lose racks and zones in the matrix

Cause: with a zone and a rack lost, what was left was all guaranteed, and accepted jobs that can't be preempted waited without end. A takeover, on the other hand, refused at once whatever the VM list of that moment could not hold.

Ruled out: refusing at once, because a zone's VMs come back; waiting for ever, because the caller is to hear a truth.

Change: queued jobs that could not run even on an idle pool are refused after hopeless_after (15 minutes) with the reason; the check at takeover is gone. Rack lost, zone lost, zone cut and workers without fencing are new faults.

Conclusion: refusals are late by choice; the bound is a setting.

--- a/internal/cmds/stand.go
+++ b/internal/cmds/stand.go
@@ -65,10 +65,28 @@
 				return err
 			}
 			c := &client.Client{Addrs: []string{*platform}}
-			if err := c.Do(ctx, http.MethodPost, "/vms", vm, nil); err != nil {
+			if err := listVM(ctx, c, vm); err != nil {
 				return fmt.Errorf("add the VM to the list at %s: %w", *platform, err)
 			}
 			w := &stand.Worker{VM: vm, CallTime: *callTime}
 			return a.serveStand(ctx, vm.Addr, w.Handle)
 		})
 }
+
+const (
+	listTries = 50
+	listPause = 200 * time.Millisecond
+)
+
+// listVM adds the VM to the platform's list, which may still be starting.
+func listVM(ctx context.Context, c *client.Client, vm model.VM) error {
+	var err error
+	for range listTries {
+		err = c.Do(ctx, http.MethodPost, "/vms", vm, nil)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(listPause)
+	}
+	return err
+}
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -51,6 +51,7 @@
 	Quarantine      *Duration `toml:"quarantine"`
 	QuarantineShare *float64  `toml:"quarantine_share"`
 	QueueLimit      *int      `toml:"queue_limit"`
+	HopelessAfter   *Duration `toml:"hopeless_after"`
 	ShortFirst      *bool     `toml:"short_first"`
 }
 
@@ -195,6 +196,7 @@
 	setSpan(&out.HoldAfterMs, p.HoldAfter)
 	setSpan(&out.HoldGraceMs, p.HoldGrace)
 	setSpan(&out.MoveCostMs, p.MoveCost)
+	setSpan(&out.HopelessMs, p.HopelessAfter)
 	setSpan(&out.QuarantineMs, p.Quarantine)
 	set(&out.MaxHolds, p.MaxHolds)
 	set(&out.MigrateGain, p.MigrateGain)
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -31,6 +31,7 @@
 	probing    []*worker
 	deadlines  deadlineHeap
 	misses     []miss
+	nextHope   int64 // when queued jobs are next looked at for hope, in ms
 	// quarantined counts workers in quarantine or on probation.
 	quarantined int
 	ready       bool
@@ -296,64 +297,6 @@
 	}
 }
 
-// Check returns why the job would be refused if it arrived now, or nil.
-func (e *Engine) Check(r Request) *Refusal {
-	e.init()
-	return e.impossible(e.byName[r.Workspace], r)
-}
-
-// impossible returns why a job can't be taken, or nil if it can.
-func (e *Engine) impossible(ws *workspace, r Request) *Refusal {
-	if ws == nil || ws.gone {
-		return refusal(UnknownWorkspace, "workspace %q is not configured", r.Workspace)
-	}
-	limit := ws.conf.Queue
-	if limit == 0 {
-		limit = e.policy.QueueLimit
-	}
-	if ws.queued >= limit {
-		return refusal(QueueFull, "the queue of workspace %q is full with %d jobs", ws.name, ws.queued)
-	}
-	n := r.Shape.Accelerators()
-	if q := ws.conf.Quota; q > 0 && n > q {
-		return refusal(OverQuota, "the job needs %d accelerators, the quota of workspace %q is %d", n, ws.name, q)
-	}
-	if !e.ready {
-		return nil
-	}
-	if _, ok := e.pool.widest(r.Shape); !ok {
-		return refusal(ImpossibleShape, "no set of workers can ever hold %d tasks of %d accelerators", r.Shape.Tasks, r.Shape.Each)
-	}
-	return e.impossibleSpare(ws, r)
-}
-
-// impossibleSpare finds unpreemptible jobs that fit no claim of their
-// workspace and more accelerators than are guaranteed to nobody.
-func (e *Engine) impossibleSpare(ws *workspace, r Request) *Refusal {
-	if r.Idempotent {
-		return nil
-	}
-	for _, c := range ws.claims {
-		if r.Shape.Each <= c.shape.Each && r.Shape.Accelerators() <= c.shape.Accelerators() {
-			return nil
-		}
-	}
-	size, promised := 0, 0
-	for _, z := range e.pool.zones {
-		size += z.index[viewSize].total[1]
-	}
-	for _, other := range e.byName {
-		for _, c := range other.claims {
-			promised += c.shape.Accelerators()
-		}
-	}
-	if n := r.Shape.Accelerators(); n > size-promised {
-		return refusal(AllGuaranteed, "the job can't be preempted and needs %d accelerators, "+
-			"of %d all but %d are guaranteed", n, size, max(size-promised, 0))
-	}
-	return nil
-}
-
 func (e *Engine) cancel(id string) {
 	j := e.jobs[id]
 	if j == nil {
@@ -465,6 +408,7 @@
 		e.mendRisks()
 	}
 	e.expire()
+	e.refuseHopeless()
 	e.pressHolds()
 	e.pass()
 }
--- a/internal/place/policy.go
+++ b/internal/place/policy.go
@@ -35,6 +35,9 @@
 	QuarantineShare float64
 	// QueueLimit bounds the queued jobs of a workspace without its own limit.
 	QueueLimit int
+	// HopelessMs is how long queued jobs wait that could not run even on an idle
+	// pool, before they are refused.
+	HopelessMs int64
 	// ShortFirst orders the queue by wait relative to run time instead of age.
 	ShortFirst bool
 }
@@ -44,7 +47,7 @@
 	return Policy{
 		RackPatienceMs: 0, HoldAfterMs: 60_000, HoldGraceMs: 120_000, MaxHolds: 8,
 		MigrateGain: 2, MoveCostMs: 60_000, JobFailures: 3, WorkerFailures: 3,
-		QuarantineMs: 300_000, QuarantineShare: 0.1, QueueLimit: 20_000, ShortFirst: true,
+		QuarantineMs: 300_000, QuarantineShare: 0.1, QueueLimit: 20_000, HopelessMs: 900_000, ShortFirst: true,
 	}
 }
 
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -59,6 +59,8 @@
 	jobs []*job
 	// score orders lanes within a pass; lower goes first.
 	score float64
+	// hopelessSince is when its jobs were first seen unable to run, in ms.
+	hopelessSince int64
 }
 
 func compareJobs(a, b *job) int {
--- a/internal/place/rebuild.go
+++ b/internal/place/rebuild.go
@@ -63,7 +63,6 @@
 		}
 	}
 	e.mendAll(all)
-	e.recheckQueue()
 	e.pass()
 }
 
@@ -119,14 +118,3 @@
 	}
 	return n
 }
-
-// recheckQueue refuses jobs that arrived during the rebuild and can never run.
-func (e *Engine) recheckQueue() {
-	for _, l := range slices.Clone(e.order) {
-		for _, j := range slices.Clone(l.jobs) {
-			if _, ok := e.pool.widest(j.req.Shape); !ok {
-				e.refuseQueued(j, "no set of workers can ever hold the job")
-			}
-		}
-	}
-}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -70,6 +70,7 @@
 const baseConfig = `
 [policy]
 preset = "completion"
+hopeless_after = "60s"
 [partners.naidu]
 share = 0.6
 [partners.tatry]
--- a/test/matrix_test.go
+++ b/test/matrix_test.go
@@ -35,15 +35,21 @@
 
 // faults are those of the brief. Each heals by itself, if it can.
 var faults = map[string]injection{
-	"node-killed": func(s *scene, n string) { s.kill(n) },
-	"node-frozen": func(s *scene, n string) { s.freeze(n, shortFault) },
-	"worker-killed": func(s *scene, _ string) {
-		w := s.busiest()
-		s.platform.RemoveVM(w.VM.ID)
-		s.mu.Lock()
-		s.dead[w.VM.Addr] = true
-		s.mu.Unlock()
-		w.Reset()
+	"node-killed":   func(s *scene, n string) { s.kill(n) },
+	"node-frozen":   func(s *scene, n string) { s.freeze(n, shortFault) },
+	"worker-killed": func(s *scene, _ string) { s.loseWorkers(func(w *stand.Worker) bool { return w == s.busiest() }) },
+	"rack-lost": func(s *scene, _ string) {
+		rack := s.busiest().VM.Rack
+		s.loseWorkers(func(w *stand.Worker) bool { return w.VM.Rack == rack })
+	},
+	"zone-lost": func(s *scene, _ string) {
+		s.loseWorkers(func(w *stand.Worker) bool { return w.VM.Zone == "nausori" })
+	},
+	"zone-cut": func(s *scene, _ string) { s.zoneCut("nausori") },
+	"workers-weak": func(s *scene, _ string) {
+		for _, w := range s.workers {
+			w.SetWeak(true)
+		}
 	},
 	"worker-restarted": func(s *scene, _ string) { s.busiest().Reset() },
 	"worker-fails-all": func(s *scene, _ string) {
@@ -119,6 +125,34 @@
 	return best
 }
 
+// loseWorkers ends workers for good: the platform lists them no longer.
+func (s *scene) loseWorkers(which func(*stand.Worker) bool) {
+	var lost []*stand.Worker
+	for _, addr := range slices.Sorted(maps.Keys(s.workers)) {
+		if w := s.workers[addr]; which(w) {
+			lost = append(lost, w)
+		}
+	}
+	for _, w := range lost {
+		s.platform.RemoveVM(w.VM.ID)
+		s.mu.Lock()
+		s.dead[w.VM.Addr] = true
+		s.mu.Unlock()
+		w.Reset()
+	}
+}
+
+// zoneCut silences a zone's workers towards every node, as a lost switch would.
+func (s *scene) zoneCut(zone string) {
+	for _, m := range s.nodes {
+		for addr, w := range s.workers {
+			if w.VM.Zone == zone {
+				s.connect(m.name, addr, linkSilent, longFault)
+			}
+		}
+	}
+}
+
 // reserved returns a worker that holds a reservation, so that a fault can keep
 // one member of a gang from starting; else the busiest.
 func (s *scene) reserved() *stand.Worker {
