Read the configuration anew at a takeover, and purge ended jobs

Cause: a node that had not heard of the newest generation could take a cell over from one that had applied it, and decided under the older one for up to a poll. Two reads under way at once could also leave the older view in place.

Ruled out: keeping the generation in the cell's row, which costs a write for each change and cell; a read after the takeover sees every accepted one.

Change: an owner reads the head after its takeover before it decides; views advance by comparison. Ended jobs older than keep_done are purged. The job subcommands share their frame.

Conclusion: a takeover costs one read more.

--- a/internal/cell/end.go
+++ b/internal/cell/end.go
@@ -220,3 +220,23 @@
 	}
 	m.reply <- n
 }
+
+const (
+	purgeEvery = 10 * time.Minute
+	purgeBatch = 200
+)
+
+// purge deletes ended jobs that are older than they are to be kept.
+func (o *Owner) purge() {
+	if time.Now().Before(o.purgeAt) || !o.valid() {
+		return
+	}
+	o.purgeAt = time.Now().Add(purgeEvery)
+	before := nowMs() - o.host.Settings.KeepDone.Milliseconds()
+	o.spawn(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, purgeEvery/2)
+		defer cancel()
+		// What fails now is purged next time.
+		_, _ = o.host.Ledger.Purge(ctx, o.fence, before, purgeBatch)
+	})
+}
--- a/internal/cell/host.go
+++ b/internal/cell/host.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -58,6 +59,9 @@
 	Meter    *meter.Meter
 	// Plan returns the configuration in force and whether it is fresh.
 	Plan func() (config.Plan, bool)
+	// Refresh reads the head of the configuration now and reports whether the
+	// plan is as new as the head.
+	Refresh func(ctx context.Context) bool
 	// VMs returns the cell's workers by the platform's list, those known to be
 	// leaving marked so, and false before the list was first read.
 	VMs func(cell string) ([]model.VM, bool)
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -48,6 +48,7 @@
 	plan     uint64 // generation that the engine has
 	stats    atomic.Pointer[place.Stats]
 	account  account
+	purgeAt  time.Time // when ended jobs are next purged
 }
 
 // workerState is what the owner knows of one worker.
@@ -165,6 +166,7 @@
 	o.step(place.Tick{})
 	o.checkJobs()
 	o.renewAll()
+	o.purge()
 	s := o.engine.Stats()
 	o.stats.Store(&s)
 }
--- a/internal/cell/rebuild.go
+++ b/internal/cell/rebuild.go
@@ -67,11 +67,17 @@
 	return all, o.ctx.Err() == nil
 }
 
-// awaitInputs waits for the configuration and the VM list.
+// awaitInputs waits for the VM list and for a configuration that was read after
+// the takeover: the owner before may have applied a generation that this node
+// had not heard of, and a cell never goes back to an older one.
 func (o *Owner) awaitInputs() bool {
+	for !o.host.Refresh(o.ctx) {
+		if !wait(o.ctx, gatePoll) {
+			return false
+		}
+	}
 	for {
-		_, listed := o.host.VMs(o.cell)
-		if _, fresh := o.host.Plan(); listed && fresh {
+		if _, listed := o.host.VMs(o.cell); listed {
 			return true
 		}
 		if !wait(o.ctx, gatePoll) {
--- a/internal/cmds/job.go
+++ b/internal/cmds/job.go
@@ -15,6 +15,20 @@
 // answerTimeout bounds a question about a job.
 const answerTimeout = 15 * time.Second
 
+// withJob makes the action of a subcommand that takes one job id and answers
+// within answerTimeout.
+func withJob(act func(ctx context.Context, id string) error) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		id, err := oneArg(args, "job id")
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+		defer cancel()
+		return act(ctx, id)
+	}
+}
+
 func (a *app) job() *ffcli.Command {
 	return group("job", "ask about jobs, wait for them, cancel them",
 		a.jobStatus(), a.jobWait(), a.jobCancel(), a.jobAnswer())
@@ -24,19 +38,13 @@
 	fs := a.clientFlags("status")
 	return command("status", "job status [flags] ID", "print a job's state",
 		"Example:\n  greengageline job status -json viti.0199-...", fs,
-		func(ctx context.Context, args []string) error {
-			id, err := oneArg(args, "job id")
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-			defer cancel()
+		withJob(func(ctx context.Context, id string) error {
 			job, err := a.client().Job(ctx, id)
 			if err != nil {
 				return err
 			}
 			return a.print(job, func() string { return jobText(job) })
-		})
+		}))
 }
 
 func jobText(j model.Job) string {
@@ -93,37 +101,25 @@
 	fs := a.clientFlags("cancel")
 	return command("cancel", "job cancel [flags] ID", "cancel a job",
 		"Its end and the cancel race; exactly one wins, and job wait tells which.\n\nExample:\n  greengageline job cancel viti.0199-...", fs,
-		func(ctx context.Context, args []string) error {
-			id, err := oneArg(args, "job id")
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-			defer cancel()
+		withJob(func(ctx context.Context, id string) error {
 			job, err := a.client().Cancel(ctx, id)
 			if err != nil {
 				return err
 			}
 			return a.print(job, func() string { return jobText(job) })
-		})
+		}))
 }
 
 func (a *app) jobAnswer() *ffcli.Command {
 	fs := a.clientFlags("answer")
 	return command("answer", "job answer [flags] ID", "print a done job's answer",
 		"Example:\n  greengageline job answer viti.0199-... > proof.svg", fs,
-		func(ctx context.Context, args []string) error {
-			id, err := oneArg(args, "job id")
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-			defer cancel()
+		withJob(func(ctx context.Context, id string) error {
 			data, err := a.client().Answer(ctx, id)
 			if err != nil {
 				return err
 			}
 			_, err = a.out.Write(data)
 			return err
-		})
+		}))
 }
--- a/internal/cmds/look.go
+++ b/internal/cmds/look.go
@@ -153,17 +153,11 @@
 	fs := a.clientFlags("explain")
 	return command("explain", "explain [flags] ID", "tell what happened to a job and why",
 		"Example:\n  greengageline explain viti.0199-...", fs,
-		func(ctx context.Context, args []string) error {
-			id, err := oneArg(args, "job id")
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-			defer cancel()
+		withJob(func(ctx context.Context, id string) error {
 			var e oper.Explanation
 			if err := a.client().Do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/explain", nil, &e); err != nil {
 				return err
 			}
 			return a.print(e, func() string { return strings.Join(e.Lines, "\n") })
-		})
+		}))
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -30,12 +30,29 @@
 	return confState{}
 }
 
+// advance replaces the view unless a newer one came first: several reads may
+// be under way at once.
+func (f *follower) advance(next *confState) {
+	for {
+		old := f.state.Load()
+		if old != nil && (old.plan.Generation > next.plan.Generation || old.freshAt.After(next.freshAt)) {
+			return
+		}
+		if f.state.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
 // known reports whether the configuration was read at least once.
 func (f *follower) known() bool { return f.state.Load() != nil }
 
 // followConfig reads the head and what changed since; freshness counts from
 // before the read was sent.
-func (n *Node) followConfig(ctx context.Context) {
+func (n *Node) followConfig(ctx context.Context) { n.refresh(ctx) }
+
+// refresh is followConfig, and reports whether the head could be read.
+func (n *Node) refresh(ctx context.Context) bool {
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, n.Settings.FreshBound/2)
 	defer cancel()
@@ -43,22 +60,23 @@
 	folder, err := n.Config.Follow(ctx, have.folder)
 	if err != nil {
 		n.noteStale(err)
-		return
+		return false
 	}
 	plan := have.plan
 	if folder.Head.Generation > have.plan.Generation || !n.conf.known() {
 		plan, err = folder.Plan()
 		if err != nil {
 			n.noteStale(err)
-			return
+			return false
 		}
 		n.Log.Emit(event.ConfigInForce).Uint64("generation", plan.Generation).Str("hash", plan.Hash).Send()
 	}
-	n.conf.state.Store(&confState{folder: folder, plan: plan, freshAt: asked})
+	n.conf.advance(&confState{folder: folder, plan: plan, freshAt: asked})
 	if n.conf.stale.CompareAndSwap(true, false) {
 		n.Log.Emit(event.NodeFresh).Uint64("generation", plan.Generation).Send()
 	}
 	n.ensureKeepers()
+	return true
 }
 
 // noteStale logs once that the configuration can't be shown to be fresh.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,7 @@
 	n.Host.Settings = n.Settings
 	n.Host.Log, n.Host.Meter = n.Log, n.Meter
 	n.Host.Plan = n.plan
+	n.Host.Refresh = n.refresh
 	n.Host.VMs = n.vms.cell(n)
 	n.Host.NoteLeaving = n.noteLeaving
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -43,6 +43,7 @@
 	UnknownAfter time.Duration
 	AnswerWait   time.Duration
 	DrainLimit   time.Duration
+	KeepDone     time.Duration
 
 	MaxBody      int
 	Inbox        int
@@ -118,6 +119,7 @@
 	d.span(&s.UnknownAfter, "unknown_after", 2*time.Minute, 200*time.Millisecond, 24*time.Hour, "How long a silent worker is asked about a job that must not run twice before the job ends as unknown.")
 	d.span(&s.AnswerWait, "answer_wait", 8*time.Second, 100*time.Millisecond, time.Minute, "How long a caller waits for acceptance before it is told to ask again.")
 	d.span(&s.DrainLimit, "drain_limit", 20*time.Second, 100*time.Millisecond, 10*time.Minute, "How long a planned stop may take.")
+	d.span(&s.KeepDone, "keep_done", 30*24*time.Hour, time.Minute, 10*365*24*time.Hour, "How long an ended job and its key are kept; after that a repeat of the key is a new job.")
 	d.number(&s.MaxBody, "max_body", "bytes", 256<<10, 1<<10, 16<<20, "Largest body of a request.")
 	d.number(&s.Inbox, "inbox", "messages", 8192, 16, 1<<20, "Messages that wait for a cell's owner; more are refused.")
 	d.number(&s.StartAtOnce, "start_at_once", "jobs", 256, 1, 10_000, "Jobs of one cell that are being started at once.")
