--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -292,8 +292,12 @@
 	if r.DeadlineMs > 0 {
 		heap.Push(&e.deadlines, deadline{at: r.DeadlineMs, id: r.ID})
 	}
-	if e.ready && j.lane.jobs[0] == j {
+	switch {
+	case !e.ready:
+	case j.lane.jobs[0] == j:
 		e.tryStart(j)
+	case len(j.lane.jobs) <= maxBackfill && !e.overQuota(j):
+		e.tryBackfill(j)
 	}
 }
 
--- a/internal/place/pass.go
+++ b/internal/place/pass.go
@@ -12,6 +12,9 @@
 // only wait because they avoid workers on which they failed.
 const maxAvoiders = 4
 
+// maxBackfill bounds the jobs of a lane that are weighed for held places.
+const maxBackfill = 16
+
 // miss is a search that found nothing; it stands until capacity comes free.
 type miss struct {
 	view  view
@@ -70,17 +73,36 @@
 			return true
 		}
 		if j.avoid == nil {
-			return false
+			break
+		}
+	}
+	return e.backfillLane(l)
+}
+
+// backfillLane looks behind a blocked head for a job that is short enough for
+// held places; the lane's jobs have one shape, but not one run time.
+func (e *Engine) backfillLane(l *lane) bool {
+	if len(e.holds) == 0 || e.overQuota(l.jobs[0]) {
+		return false
+	}
+	for i := 1; i < min(len(l.jobs), maxBackfill); i++ {
+		if e.tryBackfill(l.jobs[i]) {
+			return true
 		}
 	}
 	return false
 }
 
+func (e *Engine) overQuota(j *job) bool {
+	q := j.ws.conf.Quota
+	return q > 0 && j.ws.inUse+j.accelerators() > q
+}
+
 // tryStart places the job if the policy lets it: in its workspace's share if
 // nobody has to go, on open places, inside a gap of held places, in its share by
 // evicting borrowers, or, if urgent, wherever borrowers are.
 func (e *Engine) tryStart(j *job) bool {
-	if q := j.ws.conf.Quota; q > 0 && j.ws.inUse+j.accelerators() > q {
+	if e.overQuota(j) {
 		return false
 	}
 	c, spots, evict := e.pickClaim(j)
