--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -35,9 +35,23 @@
 // LogWriter is where a node's log lines go.
 type LogWriter struct{ io.Writer }
 
+// gaugeSource lets the meter, which the node needs to be built, read the node's
+// gauges once there is one.
+type gaugeSource struct {
+	node atomic.Pointer[node.Node]
+}
+
+func (s *gaugeSource) gauges() []meter.Gauges {
+	if n := s.node.Load(); n != nil {
+		return n.Gauges()
+	}
+	return nil
+}
+
 // Provide registers every part of a node with the injector, which must hold
 // the Settings and the LogWriter.
 func Provide(i do.Injector) {
+	do.ProvideValue(i, &gaugeSource{})
 	do.Provide(i, provideLog)
 	do.Provide(i, provideTable)
 	do.Provide(i, provideMeter)
@@ -62,7 +76,7 @@
 func provideMeter(i do.Injector) (*meter.Meter, error) {
 	tab := do.MustInvoke[*table.Table](i)
 	log := do.MustInvoke[*event.Log](i)
-	m, err := meter.New(func() []meter.Gauges { return do.MustInvoke[*node.Node](i).Gauges() })
+	m, err := meter.New(do.MustInvoke[*gaugeSource](i).gauges)
 	if err != nil {
 		return nil, err
 	}
@@ -114,6 +128,7 @@
 		Meter:  do.MustInvoke[*meter.Meter](i),
 	}
 	n.Prepare()
+	do.MustInvoke[*gaugeSource](i).node.Store(n)
 	return n, nil
 }
 
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -261,6 +260,3 @@
 
 // Ready reports whether the owner decides now.
 func (o *Owner) Ready() bool { return o.ready.Load() && o.open() }
-
-// Since is the time for which the owner has existed.
-func (o *Owner) Since() time.Duration { return time.Since(o.base) }
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -18,6 +18,7 @@
 	for id, w := range o.workers {
 		refs, has := tasks[id]
 		if !has && !w.listed {
+			o.host.Workers.Forget(w.vm.Addr)
 			delete(o.workers, id)
 			continue
 		}
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -50,7 +50,7 @@
 	defer stop()
 	a := &app{in: in, out: out, err: errOut}
 	root := a.root()
-	err := root.ParseAndRun(ctx, args)
+	err := parseAndRun(ctx, root, args)
 	if err == nil {
 		return exitDone
 	}
@@ -61,6 +61,17 @@
 	return codeOf(err)
 }
 
+func parseAndRun(ctx context.Context, root *ffcli.Command, args []string) error {
+	err := root.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	if err != nil {
+		return usagef("%w", err)
+	}
+	return root.Run(ctx)
+}
+
 func codeOf(err error) int {
 	var p *client.Problem
 	switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,7 +16,6 @@
 	"greengageline/internal/route"
 	"greengageline/internal/setup"
 	"greengageline/internal/vmlist"
-	"greengageline/pkg/model"
 )
 
 // Node is one process of the fleet; New makes it and Run serves.
@@ -262,6 +261,3 @@
 	n.vms.noteLeaving(id)
 	n.home.Leaving(id)
 }
-
-// Workers returns the targets as this node sees them.
-func (n *Node) Workers() []model.VM { return n.vms.targets() }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"greengageline/internal/config"
 	"greengageline/internal/event"
@@ -102,6 +101,3 @@
 	n.mesh.turn(ctx) // peers hear of the generation and fetch it at once
 	return generation, nil
 }
-
-// StaleFor is how long ago the configuration was last shown to be fresh.
-func (n *Node) StaleFor() time.Duration { return time.Since(n.conf.load().freshAt) }
--- a/pkg/model/job.go
+++ b/pkg/model/job.go
@@ -231,11 +231,6 @@
 	return j
 }
 
-// DeadlinePassed reports whether the job's deadline is over at nowMs.
-func (j Job) DeadlinePassed(nowMs int64) bool {
-	return j.Spec.DeadlineMs > 0 && nowMs > j.AcceptedMs+j.Spec.DeadlineMs
-}
-
 // JobID joins a cell and a unique part into a job's id.
 func JobID(cell, unique string) string { return cell + "." + unique }
 
--- a/test/request_test.go
+++ b/test/request_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -162,3 +163,34 @@
 	_ = json.NewDecoder(resp.Body).Decode(&p)
 	return resp.StatusCode, p
 }
+
+func TestOperatorsSeeMetricsHealthAndStatus(t *testing.T) {
+	c := newCluster(t, 2, 4)
+	c.done(c.client, c.submit(c.client, job("routes", "seen", 1, 1, true, 10, "")))
+	owner := c.owner()
+	cases := map[string][]string{
+		"/metrics": {
+			`cell_owned{cell="viti"`, "fragmentation{", "guarantee_at_risk_accelerators{", "job_completion_seconds_count{",
+			"job_start_seconds_count{", "table_seconds_count{", "jobs_ended_total{",
+		},
+		"/healthz": {"ok"},
+		"/readyz":  {"ready"},
+		"/":        {"greengageline on " + owner.name, "viti", "proofs", "Workspaces"},
+	}
+	for path, wants := range cases {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			resp, err := http.Get("http://" + owner.listen + path)
+			is.NoErr(err)
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			for _, want := range wants {
+				if !strings.Contains(string(body), want) {
+					t.Errorf("%s lacks %q:\n%.2000s", path, want, body)
+				}
+			}
+		})
+	}
+}
