Count what a share can't use as missing

Cause: the unused part of a share on a leaving or quarantined worker counted as its witness while a job of the share still ran there: it could not be reclaimed and was not reported.

Ruled out: taking running jobs out of the share, which forgets what they hold.

Change: such parts count as missing and are placed elsewhere; a surplus is given up when the worker comes back.

--- a/internal/place/claim.go
+++ b/internal/place/claim.go
@@ -60,26 +60,33 @@
 	}
 }
 
-// missing returns how many tasks of the shape have no place.
+// missing returns how many tasks of the shape have no place; what jobs do not
+// use of a place on a worker that takes no work counts as missing.
 func (c *claim) missing() int {
 	n := c.shape.Tasks
-	for _, s := range c.spots {
+	for i, s := range c.spots {
 		n -= s.tasks
+		if !s.w.holdsShares() {
+			n += (c.left[i] + c.shape.Each - 1) / c.shape.Each
+		}
 	}
 	return n
 }
 
+// holdsShares reports whether the worker may take a share's next job.
+func (w *worker) holdsShares() bool { return w.state == workerUp || w.state == workerCooling }
+
 // mend gives the claim a whole witness again after a loss. Parts that jobs
 // use stay; an unused claim is placed anew as a whole, so that it is adjacent.
 func (e *Engine) mend(c *claim) bool {
 	for i := len(c.spots) - 1; i >= 0; i-- {
-		unusable := c.spots[i].w.state != workerUp && c.spots[i].w.state != workerCooling
-		if unusable && c.left[i] == c.spots[i].tasks*c.shape.Each {
+		surplus := c.missing()+c.spots[i].tasks <= 0
+		if (surplus || !c.spots[i].w.holdsShares()) && c.left[i] == c.spots[i].tasks*c.shape.Each {
 			e.dropSpot(c, i)
 		}
 	}
 	n := c.missing()
-	if n == 0 {
+	if n <= 0 {
 		return true
 	}
 	shape := model.Shape{Tasks: n, Each: c.shape.Each}
@@ -186,7 +193,7 @@
 	e.atRisk = slices.DeleteFunc(e.atRisk, func(x *claim) bool { return x == c })
 	if risk {
 		d.Kind = Risk
-		d.Accelerators = c.missing() * c.shape.Each
+		d.Accelerators = min(c.missing(), c.shape.Tasks) * c.shape.Each
 		d.Reason = "no place is left for this part of the share"
 		e.atRisk = append(e.atRisk, c)
 	}
--- a/internal/place/frag.go
+++ b/internal/place/frag.go
@@ -49,7 +49,7 @@
 		one := WorkspaceStats{Name: name, InUse: ws.inUse, Borrowed: ws.borrows, Queued: ws.queued}
 		for _, c := range ws.claims {
 			one.Guaranteed += c.shape.Accelerators()
-			one.AtRisk += c.missing() * c.shape.Each
+			one.AtRisk += max(c.missing(), 0) * c.shape.Each
 		}
 		s.AtRisk += one.AtRisk
 		s.Queued += ws.queued
