--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,20 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boot returns the time since the machine started, suspension included.
+func Boot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// The clock exists on every Linux that Go supports; elsewhere the
+		// monotonic clock is the nearest one.
+		return time.Since(start)
+	}
+	return time.Duration(ts.Nano())
+}
+
+var start = time.Now()
--- /dev/null
+++ b/internal/cmds/edge.go
@@ -0,0 +1,53 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"greengageline/platform/bind"
+	"greengageline/platform/sheet"
+)
+
+const edgeHelp = `Runs a node on the users' platform until SIGTERM or SIGINT, then stops gracefully.
+
+The platform lays the settings down and names their file in the environment;
+-settings names another one.
+
+Example:
+  greengageline edge -settings local.yaml`
+
+func (a *app) edge() *ffcli.Command {
+	fs := flag.NewFlagSet("edge", flag.ContinueOnError)
+	path := fs.String("settings", "", "the platform's settings file; empty means the one that the environment names")
+	return &ffcli.Command{
+		Name: "edge", ShortUsage: "greengageline edge [-settings FILE]", ShortHelp: "run a node on the users' platform",
+		LongHelp: edgeHelp, FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 0 {
+				return usagef("edge takes no arguments, got %d", len(args))
+			}
+			if *path == "" {
+				*path = os.Getenv(sheet.PathVar)
+			}
+			return a.runEdge(ctx, *path)
+		},
+	}
+}
+
+func (a *app) runEdge(ctx context.Context, path string) error {
+	p, err := bind.Start(path, a.out)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		p.Stop()
+		return nil
+	case err := <-p.Failed():
+		return fmt.Errorf("server ended: %w", err)
+	}
+}
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -94,7 +94,7 @@
 		LongHelp:   "Start with: greengageline demo",
 		FlagSet:    flag.NewFlagSet("greengageline", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
-			a.serve(), a.check(), a.config(), a.submit(), a.job(), a.workspace(),
+			a.serve(), a.edge(), a.check(), a.config(), a.submit(), a.job(), a.workspace(),
 			a.usage(), a.node(), a.explain(), a.demo(), a.stand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- /dev/null
+++ b/internal/edge/work.go
@@ -0,0 +1,252 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"greengageline/internal/event"
+	"greengageline/internal/lead"
+	"greengageline/internal/rows"
+	"greengageline/internal/sched"
+	"greengageline/pkg/model"
+)
+
+// Grant is the right of one request: the queue that it names and the workspace
+// of its key.
+type Grant struct {
+	Queue     model.Queue
+	Workspace string
+	Plan      uint64
+}
+
+// Admit finds the queue of a request and checks its key.
+func (n *Node) Admit(host, path, key string) (Grant, error) {
+	if err := n.fresh(); err != nil {
+		return Grant{}, err
+	}
+	p := n.plan.Load()
+	q := p.Find(host, path)
+	if q == nil {
+		return Grant{}, fmt.Errorf("%w on host %q for path %q", ErrNoQueue, host, path)
+	}
+	space, known := p.Space(key)
+	if !known && !q.Open {
+		return Grant{}, ErrKey
+	}
+	return Grant{Queue: *q, Workspace: space, Plan: p.Version}, nil
+}
+
+const (
+	// storeTry bounds one try of a write: a store 80 times slower than usual
+	// still answers in about 1 s.
+	storeTry = 1300 * time.Millisecond
+	// storeTries bounds the tries of one request; the caller comes again.
+	storeTries = 2
+	// retryPause lies before the second try, with as much jitter.
+	retryPause = 30 * time.Millisecond
+	// answerMargin is left of a caller's time for the answer's way back.
+	answerMargin = 100 * time.Millisecond
+)
+
+// Submit makes work durable; it returns nil if it is, also by an earlier
+// request. An error that wraps ErrNotReady or ErrBusy is a promise that the
+// work does not run by this request.
+func (n *Node) Submit(ctx context.Context, g Grant, w model.Work) error {
+	w.Queue, w.Workspace = g.Queue, g.Workspace
+	w.Queue.Host, w.Queue.Prefix = "", ""
+	w.AcceptedMs = time.Now().UnixMilli()
+	if err := w.Check(); err != nil {
+		n.logRefused(w.ID, g, err)
+		return err
+	}
+	value, err := json.Marshal(w)
+	if err != nil {
+		return fmt.Errorf("encode work %s: %w", w.ID, err)
+	}
+	row := rows.Row{Table: lead.WorkTable, Key: w.ID, Value: value}
+	started := n.now()
+	repeated, err := n.write(ctx, rows.Txn{
+		If:  []rows.Row{{Table: row.Table, Key: row.Key}},
+		Put: []rows.Row{row},
+	})
+	if err != nil {
+		n.logRefused(w.ID, g, err)
+		return err
+	}
+	n.Log.Emit(event.WorkAccepted).Str("job", w.ID).Str("queue", g.Queue.Name).Str("workspace", g.Workspace).
+		Bool("repeated", repeated).Uint64("plan", g.Plan).Int64("took_ms", (n.now() - started).Milliseconds()).Send()
+	if o := n.Lead.Own(); o != nil && !repeated {
+		o.Accepted(row)
+	}
+	return nil
+}
+
+func (n *Node) logRefused(id string, g Grant, err error) {
+	n.Log.Emit(event.WorkRefused).Str("job", id).Str("queue", g.Queue.Name).Uint64("plan", g.Plan).Err(err).Send()
+}
+
+// write commits a transaction that is conditional on a row's absence, in a
+// bounded number of tries; repeated tells that the row was there already.
+func (n *Node) write(ctx context.Context, txn rows.Txn) (repeated bool, err error) {
+	unclear := false
+	for try := range storeTries {
+		if try > 0 {
+			sleep(ctx, retryPause+rand.N(retryPause))
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
+		_, _, err = n.Rows.Commit(tryCtx, txn)
+		cancel()
+		switch {
+		case err == nil:
+			return false, nil
+		case errors.Is(err, rows.ErrConflict):
+			return true, nil
+		case errors.Is(err, rows.ErrUnclear):
+			unclear = true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if unclear {
+		return false, fmt.Errorf("%w: %w", ErrUnclear, err)
+	}
+	return false, fmt.Errorf("%w: %w", ErrBusy, err)
+}
+
+// Cancel makes a job's cancellation durable; found tells whether the job is
+// known. A cancellation of an unknown job is kept too, since its acceptance
+// may still be on its way.
+func (n *Node) Cancel(ctx context.Context, id string) (found bool, err error) {
+	work, err := n.Rows.Get(ctx, lead.WorkTable, id)
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", ErrBusy, err)
+	}
+	row := rows.Row{Table: lead.WorkTable, Key: id + lead.CancelSuffix, Value: []byte("{}")}
+	if _, err := n.write(ctx, rows.Txn{If: []rows.Row{{Table: row.Table, Key: row.Key}}, Put: []rows.Row{row}}); err != nil {
+		return false, err
+	}
+	if o := n.Lead.Own(); o != nil {
+		o.Accepted(row)
+	}
+	n.Log.Emit(event.WorkCancelled).Str("job", id).Bool("found", work.Version != 0).Send()
+	return work.Version != 0, nil
+}
+
+const (
+	// askOwner bounds a question to the owner before the store is read instead.
+	askOwner = 350 * time.Millisecond
+	// readStore bounds that read.
+	readStore = 1500 * time.Millisecond
+)
+
+// Look returns a job's state: the owner's word, or what the store holds.
+func (n *Node) Look(ctx context.Context, id string) (lead.Look, error) {
+	if out, ok := n.askOwner(ctx, lookIn{ID: id}); ok && out.Look.Known {
+		return out.Look, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, readStore)
+	defer cancel()
+	look, err := lead.StateOf(ctx, n.Rows, id)
+	if err != nil {
+		return look, fmt.Errorf("%w: %w", ErrBusy, err)
+	}
+	return look, nil
+}
+
+// Unstarted counts a queue's accepted jobs of which nothing has started.
+func (n *Node) Unstarted(ctx context.Context, queue string) (int, error) {
+	if out, ok := n.askOwner(ctx, lookIn{Queue: queue}); ok {
+		return out.Unstarted, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, readStore)
+	defer cancel()
+	count, err := n.countStored(ctx, queue)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrBusy, err)
+	}
+	return count, nil
+}
+
+// countStored counts from the rows, for a node that can't ask the owner.
+func (n *Node) countStored(ctx context.Context, queue string) (int, error) {
+	work, err := n.Rows.All(ctx, lead.WorkTable)
+	if err != nil {
+		return 0, fmt.Errorf("read work: %w", err)
+	}
+	records, err := n.Rows.All(ctx, lead.RecordTable)
+	if err != nil {
+		return 0, fmt.Errorf("read records: %w", err)
+	}
+	begun := map[string]bool{}
+	for _, r := range records.Rows {
+		var rec sched.Record
+		if json.Unmarshal(r.Value, &rec) == nil && (rec.Begun || rec.Final != "") {
+			begun[r.Key] = true
+		}
+	}
+	for _, r := range work.Rows {
+		if id, ok := strings.CutSuffix(r.Key, lead.CancelSuffix); ok {
+			begun[id] = true
+		}
+	}
+	count := 0
+	for _, r := range work.Rows {
+		var w model.Work
+		if !begun[r.Key] && json.Unmarshal(r.Value, &w) == nil && w.Queue.Name == queue {
+			count++
+		}
+	}
+	return count, nil
+}
+
+// askOwner asks the owner, here or at another node.
+func (n *Node) askOwner(ctx context.Context, in lookIn) (lookOut, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askOwner)
+	defer cancel()
+	if n.Lead.Own() != nil {
+		out := n.lookHere(ctx, in)
+		return out, out.OK
+	}
+	addr := n.Lead.OwnerAddr()
+	if addr == "" || addr == n.Lead.Addr {
+		return lookOut{}, false
+	}
+	var out lookOut
+	if err := n.call(ctx, addr, "Look", &in, &out); err != nil {
+		return out, false
+	}
+	return out, out.OK
+}
+
+func (n *Node) lookHere(ctx context.Context, in lookIn) lookOut {
+	var out lookOut
+	o := n.Lead.Own()
+	if o == nil {
+		return out
+	}
+	if in.Queue != "" {
+		out.Unstarted, out.OK = o.Unstarted(ctx, in.Queue)
+		return out
+	}
+	out.Look, out.OK = o.Look(ctx, in.ID)
+	return out
+}
+
+// Within returns the time that a request may take, given what its caller waits
+// and the queue's own limit; 0 means none.
+func Within(caller time.Duration, q model.Queue) time.Duration {
+	limit := time.Duration(q.TimeoutMs) * time.Millisecond
+	if caller > 0 && (limit == 0 || caller < limit) {
+		limit = caller
+	}
+	if limit == 0 {
+		limit = storeTries * storeTry
+	}
+	return max(limit-answerMargin, answerMargin)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,12 +27,18 @@
 	PeerBack       ID = 111
 	NodeStale      ID = 120
 	NodeFresh      ID = 121
+	SettingsRead   ID = 130
+	LinesDropped   ID = 131
 	CellTaken      ID = 201
 	CellRebuilt    ID = 202
 	CellLost       ID = 203
 	CellReleased   ID = 204
 	CellHeld       ID = 205
 	CellResumed    ID = 206
+	LeadTaken      ID = 210
+	LeadRebuilt    ID = 211
+	LeadLost       ID = 212
+	LeadReleased   ID = 213
 	JobAccepted    ID = 301
 	JobRepeated    ID = 302
 	JobRefused     ID = 303
@@ -41,6 +47,16 @@
 	JobRequeued    ID = 306
 	JobCancelled   ID = 307
 	JobNotYetKnown ID = 308
+	WorkAccepted   ID = 310
+	WorkRefused    ID = 311
+	WorkCancelled  ID = 312
+	WorkEnded      ID = 313
+	TaskPlaced     ID = 320
+	TaskEnded      ID = 321
+	TaskStopped    ID = 322
+	TaskVanished   ID = 323
+	TaskStray      ID = 324
+	StartFailed    ID = 325
 	Placed         ID = 401
 	Evicted        ID = 402
 	Held           ID = 403
@@ -56,14 +72,21 @@
 	ConfigAccepted ID = 601
 	ConfigRefused  ID = 602
 	ConfigInForce  ID = 603
+	PlanInForce    ID = 610
+	PlanStale      ID = 611
+	PlanFresh      ID = 612
+	PlanInvalid    ID = 613
 	TableUnknown   ID = 701
 	TableDown      ID = 702
 	TableBack      ID = 703
+	StoreFailed    ID = 704
+	RowCorrupt     ID = 705
 	WorkerLeaving  ID = 710
 	WorkerGone     ID = 711
 	WorkerBack     ID = 712
 	WorkerSilent   ID = 713
 	BadVM          ID = 714
+	WorkerReborn   ID = 715
 	ObjectDown     ID = 720
 )
 
@@ -76,12 +99,18 @@
 	{PeerBack, "peer-back", zerolog.InfoLevel, "A suspected peer answers again."},
 	{NodeStale, "node-stale", zerolog.ErrorLevel, "The node can't show that its configuration is fresh and starts nothing until it can."},
 	{NodeFresh, "node-fresh", zerolog.InfoLevel, "The configuration is shown to be fresh again."},
+	{SettingsRead, "settings-read", zerolog.InfoLevel, "The settings file was read again; the line names what changed and needs a restart."},
+	{LinesDropped, "lines-dropped", zerolog.WarnLevel, "Log lines were dropped because standard output did not take them in time."},
 	{CellTaken, "cell-taken", zerolog.InfoLevel, "This node became the owner of a cell at a new epoch."},
 	{CellRebuilt, "cell-rebuilt", zerolog.InfoLevel, "The owner has read the cell's jobs and decides from now on."},
 	{CellLost, "cell-lost", zerolog.WarnLevel, "Another node owns the cell at a newer epoch."},
 	{CellReleased, "cell-released", zerolog.InfoLevel, "The owner gave the cell up so that another can take it at once."},
 	{CellHeld, "cell-held", zerolog.WarnLevel, "The owner could not renew its lease: it keeps running work alive and decides nothing."},
 	{CellResumed, "cell-resumed", zerolog.InfoLevel, "The owner renewed its lease again and decides."},
+	{LeadTaken, "lead-taken", zerolog.InfoLevel, "This node became the owner of the work at a new epoch."},
+	{LeadRebuilt, "lead-rebuilt", zerolog.InfoLevel, "The owner has read all work and records and decides from now on."},
+	{LeadLost, "lead-lost", zerolog.WarnLevel, "Another node owns the work; this one decides nothing more."},
+	{LeadReleased, "lead-released", zerolog.InfoLevel, "The owner gave the work up so that another node takes it at once."},
 	{JobAccepted, "job-accepted", zerolog.InfoLevel, "A job is durable."},
 	{JobRepeated, "job-repeated", zerolog.InfoLevel, "A caller repeated a request with a known key and got the same job."},
 	{JobRefused, "job-refused", zerolog.InfoLevel, "A job did not run and will not."},
@@ -90,6 +119,16 @@
 	{JobRequeued, "job-requeued", zerolog.InfoLevel, "A job goes back to the queue."},
 	{JobCancelled, "job-cancelled", zerolog.InfoLevel, "A caller's cancel won."},
 	{JobNotYetKnown, "job-not-yet-known", zerolog.WarnLevel, "A caller was told to ask again with the same key."},
+	{WorkAccepted, "work-accepted", zerolog.InfoLevel, "A node has made a job of steps durable."},
+	{WorkRefused, "work-refused", zerolog.InfoLevel, "A node refused a job of steps, or could not tell whether it is durable; the line says which and why."},
+	{WorkCancelled, "work-cancelled", zerolog.InfoLevel, "A caller's cancel of a job of steps is durable."},
+	{WorkEnded, "work-ended", zerolog.InfoLevel, "The final state of a job of steps is durable."},
+	{TaskPlaced, "task-placed", zerolog.InfoLevel, "A task's run was decided; the line gives the worker and the reason."},
+	{TaskEnded, "task-ended", zerolog.InfoLevel, "A worker listed the end of a run; present tells whether it was the task's newest."},
+	{TaskStopped, "task-stopped", zerolog.InfoLevel, "A run is stopped; the line gives the reason."},
+	{TaskVanished, "task-vanished", zerolog.WarnLevel, "A worker no longer knows a run that it had; the task waits again."},
+	{TaskStray, "task-stray", zerolog.WarnLevel, "A worker has a run that the records don't know; it is stopped."},
+	{StartFailed, "start-failed", zerolog.WarnLevel, "The order to start a run failed; the line tells whether it may still be carried out."},
 	{Placed, "placed", zerolog.InfoLevel, "A placement was decided; the line gives mode, workers and reason."},
 	{Evicted, "evicted", zerolog.InfoLevel, "A job is stopped to give its places back; the line gives the reason."},
 	{Held, "held", zerolog.InfoLevel, "Places are held for a blocked gang."},
@@ -105,14 +144,21 @@
 	{ConfigAccepted, "config-accepted", zerolog.InfoLevel, "A new generation of the configuration is durable."},
 	{ConfigRefused, "config-refused", zerolog.InfoLevel, "A change of the configuration was refused."},
 	{ConfigInForce, "config-in-force", zerolog.InfoLevel, "This node applies a generation."},
+	{PlanInForce, "plan-in-force", zerolog.InfoLevel, "This node applies a newer plan."},
+	{PlanStale, "plan-stale", zerolog.WarnLevel, "This node can't show that its plan is the newest and refuses callers until it can."},
+	{PlanFresh, "plan-fresh", zerolog.InfoLevel, "The plan is shown to be the newest again."},
+	{PlanInvalid, "plan-invalid", zerolog.ErrorLevel, "A plan could not be read; the one before stays in force."},
 	{TableUnknown, "table-unknown", zerolog.WarnLevel, "The outcome of a transaction could not be settled in time."},
 	{TableDown, "table-down", zerolog.WarnLevel, "Reads or writes of the table fail; the line is written once until it answers again."},
 	{TableBack, "table-back", zerolog.InfoLevel, "The table answers again."},
+	{StoreFailed, "store-failed", zerolog.WarnLevel, "A call of the platform's store failed; the line names the call."},
+	{RowCorrupt, "row-corrupt", zerolog.ErrorLevel, "A row of the store could not be read and is left alone."},
 	{WorkerLeaving, "worker-leaving", zerolog.InfoLevel, "A worker gets nothing new; the line says who told."},
 	{WorkerGone, "worker-gone", zerolog.WarnLevel, "A worker is taken as lost."},
 	{WorkerBack, "worker-back", zerolog.InfoLevel, "A worker joined or came back."},
 	{WorkerSilent, "worker-silent", zerolog.WarnLevel, "Renewals to a worker fail."},
 	{BadVM, "bad-vm-entry", zerolog.WarnLevel, "An entry of the VM list failed its checks and is ignored."},
+	{WorkerReborn, "worker-reborn", zerolog.WarnLevel, "A worker has restarted under its id and knows nothing of before."},
 	{ObjectDown, "object-store-down", zerolog.WarnLevel, "An answer could not be written to the object store and is kept by its worker."},
 }
 
--- /dev/null
+++ b/internal/lead/lead.go
@@ -0,0 +1,336 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"greengageline/internal/clock"
+	"greengageline/internal/event"
+	"greengageline/internal/orders"
+	"greengageline/internal/rows"
+	"greengageline/internal/sched"
+	"greengageline/pkg/model"
+)
+
+// The tables that this package writes.
+const (
+	RightTable  = "lead"
+	WorkTable   = "work"
+	RecordTable = "record"
+	rightKey    = "all"
+	// CancelSuffix follows a job's id in the key of its cancellation, which
+	// lies in WorkTable so that one feed brings both.
+	CancelSuffix = "/x"
+)
+
+const (
+	// watchEvery is how often a node asks the owner whether it is well: a few
+	// times within takeAfter.
+	watchEvery = 400 * time.Millisecond
+	// askTimeout bounds one such question; a round trip takes a few ms.
+	askTimeout = 400 * time.Millisecond
+	// renewEvery is how long the owner's row stands unchanged at most while
+	// the store answers: a quarter of takeAfter.
+	renewEvery = 600 * time.Millisecond
+	// takeAfter is how long a row stands unchanged before another node takes
+	// it. A store that is 80 times slower than usual still takes a renewal in
+	// less; recovery is allowed 12 s on the smallest site.
+	takeAfter = 2500 * time.Millisecond
+	// staleAfter is the age of an owner's last commit from which the others
+	// look at its row for themselves.
+	staleAfter = 1500 * time.Millisecond
+	// orderBound is how long after its last commit an owner still extends
+	// leases: longer than the store's outages on the users' sites, since
+	// nobody else can take over while it is out.
+	orderBound = 8 * time.Second
+	// storeTimeout bounds one call of the store; a slow one takes about 1 s.
+	storeTimeout = 2500 * time.Millisecond
+	// takeJitter spreads the nodes that find the row free at one moment.
+	takeJitter = 150 * time.Millisecond
+)
+
+// right is the row that names the owner.
+type right struct {
+	Owner string `json:"owner"`
+	Addr  string `json:"addr"`
+	Epoch int64  `json:"epoch"`
+	// N numbers the transactions of an epoch.
+	N int64 `json:"n"`
+	// Nonce tells two lives of a node apart.
+	Nonce    uint64 `json:"nonce"`
+	Released bool   `json:"released,omitempty"`
+}
+
+func (r right) same(o right) bool {
+	return r.Owner == o.Owner && r.Epoch == o.Epoch && r.Nonce == o.Nonce
+}
+
+// Pulse is what an owner tells of itself.
+type Pulse struct {
+	Owner bool  `json:"owner"`
+	Epoch int64 `json:"epoch"`
+	// AgeMs is the time since the owner's last commit was sent.
+	AgeMs int64 `json:"age_ms"`
+	// Addr is where the answering node believes the owner to be.
+	Addr string `json:"addr,omitempty"`
+}
+
+// Bounds are the platform's figures that the owner relies on.
+type Bounds struct {
+	// MaxHold is the longest lease that a worker grants.
+	MaxHold time.Duration
+	// KillGrace is the longest time that a stop takes.
+	KillGrace time.Duration
+	// KeepEnded is how long an ended job can be asked for.
+	KeepEnded time.Duration
+	// Factor is how many times as long a task takes far from its data.
+	Factor float64
+	// GangWait is how long members of a gang wait for the others.
+	GangWait time.Duration
+	// Beat is how often workers write their entries.
+	Beat time.Duration
+}
+
+// Lead is one node's part in the ownership; set the exported fields, then Run.
+type Lead struct {
+	Node   string
+	Addr   string
+	Rows   *rows.Store
+	Fleet  *orders.Fleet
+	Bounds Bounds
+	Log    *event.Log
+	Count  *Counters
+	// Plan returns the newest plan known here.
+	Plan func() model.Plan
+	// Ask asks the node at addr how it is; set by the caller.
+	Ask func(ctx context.Context, addr string) (Pulse, error)
+	// Now is the steady clock; nil means clock.Boot.
+	Now func() time.Duration
+	// WallMs is the time of day in Unix ms; nil means the machine's.
+	WallMs func() int64
+
+	nonce     uint64
+	resigning atomic.Bool
+	addr      atomic.Pointer[string]
+
+	mu sync.Mutex
+	// owner is guarded by mu and nil while another node owns the work.
+	owner *Owner
+
+	// The fields below belong to Run's goroutine.
+	seen    rows.Row // the right row as last read
+	seenAt  time.Duration
+	seenNow bool
+}
+
+func (l *Lead) now() time.Duration {
+	if l.Now != nil {
+		return l.Now()
+	}
+	return clock.Boot()
+}
+
+func (l *Lead) wallMs() int64 {
+	if l.WallMs != nil {
+		return l.WallMs()
+	}
+	return time.Now().UnixMilli()
+}
+
+// OwnerAddr returns where the owner was last known to be; "" if nowhere.
+func (l *Lead) OwnerAddr() string {
+	if p := l.addr.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
+func (l *Lead) setAddr(addr string) { l.addr.Store(&addr) }
+
+// Own returns the owner that runs in this process, or nil.
+func (l *Lead) Own() *Owner {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner
+}
+
+// Pulse tells how this node stands.
+func (l *Lead) Pulse() Pulse {
+	o := l.Own()
+	if o == nil {
+		return Pulse{Addr: l.OwnerAddr()}
+	}
+	return Pulse{Owner: true, Epoch: o.epoch, AgeMs: o.age().Milliseconds(), Addr: l.Addr}
+}
+
+// Run watches the ownership and takes it when it is free, until ctx ends.
+func (l *Lead) Run(ctx context.Context) {
+	l.nonce = rand.Uint64()
+	for ctx.Err() == nil {
+		l.turn(ctx)
+		sleep(ctx, watchEvery-watchEvery/4+rand.N(watchEvery/2))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (l *Lead) turn(ctx context.Context) {
+	if o := l.Own(); o != nil {
+		select {
+		case <-o.ctx.Done():
+			l.drop(o)
+		default:
+			return
+		}
+	}
+	if l.resigning.Load() || l.ownerWell(ctx) {
+		l.seenNow = false
+		return
+	}
+	l.look(ctx)
+}
+
+func (l *Lead) drop(o *Owner) {
+	o.wait()
+	l.mu.Lock()
+	l.owner = nil
+	l.mu.Unlock()
+	l.seenNow = false
+}
+
+// ownerWell asks the node that was last known as the owner.
+func (l *Lead) ownerWell(ctx context.Context) bool {
+	addr := l.OwnerAddr()
+	if addr == "" || addr == l.Addr {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	p, err := l.Ask(ctx, addr)
+	if err != nil {
+		return false
+	}
+	return p.Owner && p.AgeMs < staleAfter.Milliseconds()
+}
+
+// look reads the row and takes it if it is free: absent, released, or unchanged
+// for takeAfter while the store answered.
+func (l *Lead) look(ctx context.Context) {
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	row, err := l.Rows.Get(readCtx, RightTable, rightKey)
+	cancel()
+	if err != nil {
+		l.seenNow = false
+		return
+	}
+	var r right
+	if row.Version != 0 {
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			l.Log.Emit(event.RowCorrupt).Str("table", RightTable).Str("key", rightKey).Err(err).Send()
+			return
+		}
+	}
+	if !l.seenNow || row.Version != l.seen.Version {
+		l.seen, l.seenAt, l.seenNow = row, l.now(), true
+		if r.Owner != "" && !r.Released {
+			l.setAddr(r.Addr)
+		}
+	}
+	own := r.Owner == l.Node && r.Addr == l.Addr && r.Nonce != l.nonce
+	free := row.Version == 0 || r.Released || own || l.now()-l.seenAt >= takeAfter
+	if !free || l.resigning.Load() {
+		return
+	}
+	sleep(ctx, rand.N(takeJitter))
+	l.take(ctx, row, r)
+}
+
+// take rewrites the row with the next epoch, on condition that it has not
+// changed since it was read.
+func (l *Lead) take(ctx context.Context, row rows.Row, before right) {
+	mine := right{Owner: l.Node, Addr: l.Addr, Epoch: before.Epoch + 1, Nonce: l.nonce, N: 1}
+	value, err := json.Marshal(mine)
+	if err != nil {
+		return
+	}
+	sent := l.now()
+	ctx2, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	version, _, err := l.Rows.Commit(ctx2, rows.Txn{
+		If:  []rows.Row{{Table: RightTable, Key: rightKey, Version: row.Version}},
+		Put: []rows.Row{{Table: RightTable, Key: rightKey, Value: value}},
+	})
+	if err != nil {
+		// A write without an answer may still have taken effect: the next look
+		// then finds the row unchanged and takes it over again.
+		if !errors.Is(err, rows.ErrConflict) {
+			l.Log.Emit(event.StoreFailed).Str("op", "take").Err(err).Send()
+		}
+		return
+	}
+	o := newOwner(l, mine, version, sent)
+	l.Log.Emit(event.LeadTaken).Int64("epoch", mine.Epoch).Str("before", before.Owner).Bool("released", before.Released).
+		Int64("unchanged_ms", (l.now() - l.seenAt).Milliseconds()).Send()
+	l.setAddr(l.Addr)
+	l.mu.Lock()
+	l.owner = o
+	l.mu.Unlock()
+	o.start(before.Owner != "" && !before.Released)
+}
+
+// Resign hands the ownership on, if this node has it, and never takes it again.
+func (l *Lead) Resign(ctx context.Context) {
+	l.resigning.Store(true)
+	if o := l.Own(); o != nil {
+		o.release(ctx)
+	}
+}
+
+// Look is a job's state as the owner knows it.
+type Look struct {
+	Known bool        `json:"known"`
+	State sched.State `json:"state"`
+}
+
+// StateOf reads a job's state from the store, for a node that can't ask the
+// owner.
+func StateOf(ctx context.Context, s *rows.Store, id string) (Look, error) {
+	work, err := s.Get(ctx, WorkTable, id)
+	if err != nil {
+		return Look{}, fmt.Errorf("read job %s: %w", id, err)
+	}
+	if work.Version == 0 {
+		return Look{}, nil
+	}
+	row, err := s.Get(ctx, RecordTable, id)
+	if err != nil {
+		return Look{}, fmt.Errorf("read the record of job %s: %w", id, err)
+	}
+	if row.Version == 0 {
+		return Look{Known: true, State: sched.Queued}, nil
+	}
+	var r sched.Record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return Look{}, fmt.Errorf("decode the record of job %s: %w", id, err)
+	}
+	switch {
+	case r.Final != "":
+		return Look{Known: true, State: r.Final}, nil
+	case r.Begun:
+		return Look{Known: true, State: sched.Running}, nil
+	}
+	return Look{Known: true, State: sched.Queued}, nil
+}
--- /dev/null
+++ b/internal/lead/owner.go
@@ -0,0 +1,449 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"greengageline/internal/event"
+	"greengageline/internal/orders"
+	"greengageline/internal/rows"
+	"greengageline/internal/sched"
+	"greengageline/pkg/model"
+)
+
+const (
+	// tickEvery is how often the owner looks at its clocks.
+	tickEvery = 100 * time.Millisecond
+	// listEvery is how often the workers' entries are read: a few times
+	// within the 2 s after which a leaving worker must get nothing new.
+	listEvery = 500 * time.Millisecond
+	// feedWait is how long the feed of accepted work waits for a change.
+	feedWait = 5 * time.Second
+	// keepMissing is how long after the store's return a missing entry is
+	// still taken as that of a living worker: the users' letter gives 2 s.
+	keepMissing = 2200 * time.Millisecond
+	// inboxSize bounds the messages to the loop; senders wait when it is full.
+	inboxSize = 1024
+	// purgeEvery is how often ended jobs are looked through.
+	purgeEvery = 10 * time.Second
+	// runsPerEpoch leaves room for the runs of one owner, so that the next
+	// owner's runs have higher numbers.
+	runsPerEpoch = 1_000_000
+	// retryMin and retryMax bound the pause before a refused or unanswered
+	// call of the store is sent again.
+	retryMin = 60 * time.Millisecond
+	retryMax = 500 * time.Millisecond
+)
+
+// Owner runs the work while its node has the right; its loop alone touches the
+// fields that have no comment of their own.
+type Owner struct {
+	lead  *Lead
+	epoch int64
+	mine  right
+
+	ctx    context.Context //nolint:containedctx // the owner's lifetime, ended by stop
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	inbox  chan func()
+	// committedAt is when the last successful commit was sent, in ns of the
+	// steady clock; others read it.
+	committedAt atomic.Int64
+
+	engine   sched.Engine
+	work     map[string]*model.Work
+	shown    map[string]sched.State // durable final states
+	cancels  map[string]bool        // cancellations of jobs that are not known yet
+	sessions map[string]*session
+	settled  map[sched.Ref]settlement
+	waiting  []sched.Order // starts whose records are not durable yet
+	dirty    map[string]bool
+	drops    []rows.Row
+	version  uint64 // of the right row
+	flying   bool
+	purgeAt  time.Duration
+	plan     uint64
+	listOK   bool
+	backAt   time.Duration // when the list was readable again
+	rebuilt  atomic.Bool
+	quiet    bool
+	passDue  bool
+}
+
+// settlement says when it became certain what a worker knows of a run.
+type settlement struct {
+	run int64
+	at  time.Duration
+}
+
+func newOwner(l *Lead, mine right, version uint64, sent time.Duration) *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &Owner{
+		lead: l, epoch: mine.Epoch, mine: mine, version: version, ctx: ctx, cancel: cancel,
+		inbox: make(chan func(), inboxSize), work: map[string]*model.Work{}, shown: map[string]sched.State{},
+		cancels: map[string]bool{}, sessions: map[string]*session{}, settled: map[sched.Ref]settlement{},
+		dirty: map[string]bool{},
+	}
+	o.committedAt.Store(int64(sent))
+	o.engine.Limits = sched.Limits{FirstRun: mine.Epoch * runsPerEpoch, Factor: l.Bounds.Factor}
+	return o
+}
+
+func (o *Owner) age() time.Duration { return o.lead.now() - time.Duration(o.committedAt.Load()) }
+
+// mayOrder reports whether the owner may still extend leases.
+func (o *Owner) mayOrder() bool { return o.ctx.Err() == nil && o.age() < orderBound }
+
+// mayStart reports whether the owner is sure enough of its right to start runs.
+func (o *Owner) mayStart() bool { return o.ctx.Err() == nil && o.age() < takeAfter }
+
+func (o *Owner) moment() sched.Moment {
+	return sched.Moment{Steady: o.lead.now(), UnixMs: o.lead.wallMs()}
+}
+
+func (o *Owner) spawn(f func()) {
+	o.done.Add(1)
+	go func() {
+		defer o.done.Done()
+		f()
+	}()
+}
+
+func (o *Owner) wait() { o.done.Wait() }
+
+// post hands f to the loop and reports whether the owner still runs.
+func (o *Owner) post(f func()) bool {
+	select {
+	case o.inbox <- f:
+		return true
+	case <-o.ctx.Done():
+		return false
+	}
+}
+
+// ask runs f in the loop and waits for it.
+func (o *Owner) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	select {
+	case o.inbox <- func() { f(); close(done) }:
+	case <-o.ctx.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-o.ctx.Done():
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// start reads what the owner before left and begins to decide. Runs of an owner
+// that may still live are waited for longer than those of one that resigned.
+func (o *Owner) start(mayLive bool) {
+	o.spawn(func() {
+		after, ok := o.rebuild(mayLive)
+		if !ok {
+			return
+		}
+		o.spawn(func() { o.follow(after) })
+		o.spawn(o.list)
+		o.loop()
+	})
+}
+
+func (o *Owner) loop() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	o.rebuilt.Store(true)
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case f := <-o.inbox:
+			f()
+			o.drain()
+		case <-ticker.C:
+			o.tick()
+		}
+		o.turn()
+	}
+}
+
+// drain applies what else is already waiting, so that one pass and one
+// transaction serve all of it.
+func (o *Owner) drain() {
+	for range inboxSize {
+		select {
+		case f := <-o.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (o *Owner) tick() {
+	if p := o.lead.Plan(); p.Version > o.plan {
+		o.plan = p.Version
+		o.engine.SetPlan(p)
+	}
+	for _, s := range o.sessions {
+		s.check()
+	}
+	o.purge()
+	o.passDue = true
+}
+
+// turn decides, hands out stops, and sends the next transaction.
+func (o *Owner) turn() {
+	if o.passDue && !o.quiet && o.plan != 0 && o.mayStart() {
+		o.passDue = false
+		o.engine.Pass(o.moment())
+	}
+	for _, order := range o.engine.TakeOrders() {
+		if order.Stop {
+			o.sendStop(order)
+			continue
+		}
+		delete(o.settled, order.Task)
+		o.waiting = append(o.waiting, order)
+		o.lead.Log.Emit(event.TaskPlaced).Str("task", order.Task.String()).Int64("run", order.Run).
+			Str("worker", order.Worker).Str("reason", order.Reason).Int64("epoch", o.epoch).Uint64("plan", o.plan).Send()
+	}
+	for _, id := range o.engine.TakeChanged() {
+		o.dirty[id] = true
+	}
+	o.commit()
+}
+
+// rebuild reads all work and records; it reports the version from which the
+// feed of work goes on.
+func (o *Owner) rebuild(mayLive bool) (uint64, bool) {
+	started := o.lead.now()
+	work, ok := o.readAll(WorkTable)
+	if !ok {
+		return 0, false
+	}
+	records, ok := o.readAll(RecordTable)
+	if !ok {
+		return 0, false
+	}
+	stored := make(map[string][]byte, len(records.Rows))
+	for _, r := range records.Rows {
+		stored[r.Key] = r.Value
+	}
+	o.tick()
+	for _, r := range work.Rows {
+		o.learn(r, stored[r.Key])
+	}
+	until := o.lead.now() + o.leaseTail()
+	if mayLive {
+		until += orderBound
+	}
+	for id := range o.workersWithRuns() {
+		s := o.session(orders.Entry{Worker: sched.Worker{ID: id, Silent: true}})
+		s.leaseUntil = until
+		s.adopted, s.silent = true, true
+		for ref, run := range o.engine.On(id) {
+			o.settled[ref] = settlement{run: run, at: -1}
+		}
+	}
+	o.lead.Log.Emit(event.LeadRebuilt).Int64("epoch", o.epoch).Int("jobs", len(o.work)).
+		Int64("took_ms", (o.lead.now() - started).Milliseconds()).Send()
+	return work.Version, true
+}
+
+func (o *Owner) workersWithRuns() map[string]bool {
+	out := map[string]bool{}
+	for _, id := range o.engine.Workers() {
+		if o.engine.Busy(id) {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// leaseTail is how long after an order a run may live at a worker whose clock
+// is 2 % slow, its stop included.
+func (o *Owner) leaseTail() time.Duration {
+	hold := o.lead.Bounds.MaxHold
+	return hold + hold*3/100 + o.lead.Bounds.KillGrace + transitSlack
+}
+
+// transitSlack is the time that an order may be on its way; a worker counts a
+// lease on its own clock, so that only its last reading matters.
+const transitSlack = 200 * time.Millisecond
+
+func (o *Owner) readAll(table string) (rows.Page, bool) {
+	pause := retryMin
+	for {
+		ctx, cancel := context.WithTimeout(o.ctx, 2*storeTimeout)
+		page, err := o.lead.Rows.All(ctx, table)
+		cancel()
+		if err == nil {
+			return page, true
+		}
+		o.lead.Log.Emit(event.StoreFailed).Str("op", "read "+table).Err(err).Send()
+		if o.ctx.Err() != nil || o.age() > orderBound {
+			o.cancel()
+			return page, false
+		}
+		sleep(o.ctx, pause)
+		pause = min(2*pause, retryMax)
+	}
+}
+
+// learn takes in a row of accepted work or a cancellation.
+func (o *Owner) learn(r rows.Row, record []byte) {
+	if id, ok := strings.CutSuffix(r.Key, CancelSuffix); ok {
+		if !r.Gone {
+			o.noteCancel(id)
+		}
+		return
+	}
+	if r.Gone || o.work[r.Key] != nil {
+		return
+	}
+	w := new(model.Work)
+	if err := json.Unmarshal(r.Value, w); err != nil {
+		o.lead.Log.Emit(event.RowCorrupt).Str("table", WorkTable).Str("key", r.Key).Err(err).Send()
+		return
+	}
+	j, err := sched.Restore(w, record)
+	if err != nil {
+		o.lead.Log.Emit(event.RowCorrupt).Str("table", RecordTable).Str("key", r.Key).Err(err).Send()
+		return
+	}
+	o.work[r.Key] = w
+	if !j.Open() {
+		o.shown[r.Key] = j.Final
+	}
+	o.engine.Add(j, o.moment())
+	if o.cancels[w.ID] {
+		delete(o.cancels, w.ID)
+		o.engine.Cancel(w.ID, o.moment())
+	}
+}
+
+func (o *Owner) noteCancel(id string) {
+	if o.work[id] == nil {
+		o.cancels[id] = true
+		return
+	}
+	o.engine.Cancel(id, o.moment())
+}
+
+// follow reads the feed of accepted work until the owner ends.
+func (o *Owner) follow(after uint64) {
+	for o.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(o.ctx, feedWait+storeTimeout)
+		page, err := o.lead.Rows.Feed(ctx, WorkTable, after, feedWait)
+		cancel()
+		if err != nil {
+			after = o.refollow(after, err)
+			continue
+		}
+		after = max(after, page.Version)
+		if len(page.Rows) == 0 {
+			continue
+		}
+		o.post(func() { o.learnAll(page.Rows) })
+	}
+}
+
+// refollow reads the whole table after the history was lost, and waits a moment
+// after any other failure.
+func (o *Owner) refollow(after uint64, err error) uint64 {
+	if o.ctx.Err() != nil {
+		return after
+	}
+	o.lead.Log.Emit(event.StoreFailed).Str("op", "feed "+WorkTable).Err(err).Send()
+	sleep(o.ctx, retryMin)
+	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+	defer cancel()
+	page, err := o.lead.Rows.All(ctx, WorkTable)
+	if err != nil {
+		sleep(o.ctx, retryMin)
+		return after
+	}
+	o.post(func() { o.learnAll(page.Rows) })
+	return max(after, page.Version)
+}
+
+func (o *Owner) learnAll(rs []rows.Row) {
+	for _, r := range rs {
+		o.learn(r, nil)
+	}
+	o.passDue = true
+}
+
+// Accepted takes in work that a node has just made durable, ahead of the feed.
+func (o *Owner) Accepted(r rows.Row) {
+	select {
+	case o.inbox <- func() { o.learnAll([]rows.Row{r}) }:
+	default: // the feed brings it too
+	}
+}
+
+// Look returns a job's state; ok is false if the owner can't tell.
+func (o *Owner) Look(ctx context.Context, id string) (Look, bool) {
+	var out Look
+	if !o.rebuilt.Load() {
+		return out, false
+	}
+	ok := o.ask(ctx, func() {
+		j := o.engine.Job(id)
+		if j == nil {
+			return
+		}
+		out.Known = true
+		switch final, durable := o.shown[id]; {
+		case durable:
+			out.State = final
+		case j.Begun:
+			out.State = sched.Running
+		default:
+			out.State = sched.Queued
+		}
+	})
+	return out, ok
+}
+
+// Unstarted counts the queue's jobs of which nothing has started.
+func (o *Owner) Unstarted(ctx context.Context, queue string) (int, bool) {
+	n := 0
+	if !o.rebuilt.Load() {
+		return 0, false
+	}
+	ok := o.ask(ctx, func() { n = o.engine.Unstarted(queue) })
+	return n, ok
+}
+
+// purge removes the rows of jobs that can no longer be asked for.
+func (o *Owner) purge() {
+	now := o.moment()
+	if now.Steady < o.purgeAt || len(o.drops) > 0 {
+		return
+	}
+	o.purgeAt = now.Steady + purgeEvery
+	for _, id := range o.engine.OldEnded(now.UnixMs - (2 * o.lead.Bounds.KeepEnded).Milliseconds()) {
+		if o.dirty[id] || len(o.drops) >= maxEntries/2 {
+			continue
+		}
+		o.engine.Forget(id)
+		delete(o.work, id)
+		delete(o.shown, id)
+		for _, r := range []rows.Row{
+			{Table: WorkTable, Key: id}, {Table: WorkTable, Key: id + CancelSuffix}, {Table: RecordTable, Key: id},
+		} {
+			o.drops = append(o.drops, r)
+		}
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,23 +36,24 @@
 
 // NewServer returns a gRPC server of h.
 func NewServer(h *Handlers) *grpc.Server {
+	return Serve(
+		Method("Beat", h.Beat), Method("Submit", h.Submit),
+		Method("Job", h.Job), Method("Call", h.Call),
+	)
+}
+
+// Serve returns a gRPC server of the given methods.
+func Serve(methods ...grpc.MethodDesc) *grpc.Server {
 	s := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingEvery / 2, PermitWithoutStream: true}),
 	)
-	s.RegisterService(&grpc.ServiceDesc{
-		ServiceName: serviceName,
-		HandlerType: (*any)(nil),
-		Methods: []grpc.MethodDesc{
-			method("Beat", h.Beat), method("Submit", h.Submit),
-			method("Job", h.Job), method("Call", h.Call),
-		},
-	}, h)
+	s.RegisterService(&grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil), Methods: methods}, nil)
 	return s
 }
 
-// method adapts a typed handler to gRPC without generated code.
-func method[I, O any](name string, f func(context.Context, *I) (*O, error)) grpc.MethodDesc {
+// Method adapts a typed handler to gRPC without generated code.
+func Method[I, O any](name string, f func(context.Context, *I) (*O, error)) grpc.MethodDesc {
 	return grpc.MethodDesc{
 		MethodName: name,
 		Handler: func(_ any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
@@ -111,7 +112,8 @@
 	}
 }
 
-func (c *Client) do(ctx context.Context, name string, in, out any) error {
+// Ask calls the named method of the node.
+func (c *Client) Ask(ctx context.Context, name string, in, out any) error {
 	if c.Invoke != nil {
 		return c.Invoke(ctx, c.Addr, name, in, out)
 	}
@@ -140,25 +142,25 @@
 // Beat exchanges heartbeats.
 func (c *Client) Beat(ctx context.Context, in *Beat) (*Beat, error) {
 	out := new(Beat)
-	return out, c.do(ctx, "Beat", in, out)
+	return out, c.Ask(ctx, "Beat", in, out)
 }
 
 // Submit passes a job on.
 func (c *Client) Submit(ctx context.Context, in *SubmitIn) (*JobOut, error) {
 	out := new(JobOut)
-	return out, c.do(ctx, "Submit", in, out)
+	return out, c.Ask(ctx, "Submit", in, out)
 }
 
 // Job asks about a job.
 func (c *Client) Job(ctx context.Context, in *JobIn) (*JobOut, error) {
 	out := new(JobOut)
-	return out, c.do(ctx, "Job", in, out)
+	return out, c.Ask(ctx, "Job", in, out)
 }
 
 // Call passes a short request on.
 func (c *Client) Call(ctx context.Context, in *CallIn) (*CallOut, error) {
 	out := new(CallOut)
-	return out, c.do(ctx, "Call", in, out)
+	return out, c.Ask(ctx, "Call", in, out)
 }
 
 // dialFailed recognizes gRPC's report that no connection could be made.
--- /dev/null
+++ b/internal/rows/rows.go
@@ -0,0 +1,90 @@
+package rows
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+var (
+	// ErrConflict means that a condition did not hold: nothing was written.
+	ErrConflict = errors.New("row condition failed")
+	// ErrRefused means that the store certainly did nothing.
+	ErrRefused = errors.New("store refused the call")
+	// ErrUnclear means that a write may have taken effect, or still may.
+	ErrUnclear = errors.New("store gave no answer")
+	// ErrCompacted means that the history which a feed needs is gone.
+	ErrCompacted = errors.New("store history is gone")
+)
+
+// Row is one value with the version of its last write; Version 0 is absent.
+type Row struct {
+	Table, Key string
+	Value      []byte
+	Version    uint64
+	// Gone marks a removed row in a feed.
+	Gone bool
+}
+
+// Txn is one atomic transaction: all of it happens if each row in If still has
+// its Version, else nothing.
+type Txn struct {
+	If   []Row
+	Put  []Row
+	Drop []Row
+}
+
+// Page is the answer to a read: the rows, and the store's newest version when
+// they were read.
+type Page struct {
+	Rows    []Row
+	Version uint64
+	More    bool
+}
+
+// Store is what the product needs of the platform's store.
+type Store struct {
+	// Commit runs a transaction and returns its version. Its error wraps
+	// ErrConflict (then the rows are the present ones of Txn.If), ErrRefused
+	// or ErrUnclear.
+	Commit func(ctx context.Context, txn Txn) (version uint64, present []Row, err error)
+	// Range reads up to the store's page limit of rows from key from on, and
+	// before key to; an empty to means no end.
+	Range func(ctx context.Context, table, from, to string) (Page, error)
+	// Feed returns the changes of a table after a version, waiting up to wait
+	// for the first; its error may wrap ErrCompacted.
+	Feed func(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
+}
+
+// All reads a whole table; Version is that of the first page, so that a feed
+// from there misses nothing.
+func (s *Store) All(ctx context.Context, table string) (Page, error) {
+	var all Page
+	from := ""
+	for {
+		p, err := s.Range(ctx, table, from, "")
+		if err != nil {
+			return all, err
+		}
+		if from == "" {
+			all.Version = p.Version
+		}
+		all.Rows = append(all.Rows, p.Rows...)
+		if !p.More || len(p.Rows) == 0 {
+			return all, nil
+		}
+		from = p.Rows[len(p.Rows)-1].Key + "\x00"
+	}
+}
+
+// Get reads one row; a missing one has Version 0.
+func (s *Store) Get(ctx context.Context, table, key string) (Row, error) {
+	p, err := s.Range(ctx, table, key, key+"\x00")
+	if err != nil {
+		return Row{}, err
+	}
+	if len(p.Rows) == 0 {
+		return Row{Table: table, Key: key}, nil
+	}
+	return p.Rows[0], nil
+}
--- /dev/null
+++ b/internal/sched/pass.go
@@ -0,0 +1,328 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"greengageline/pkg/model"
+)
+
+// Pass gives free room to waiting tasks in order, makes room for owed work, and
+// stops runs that stand still. The orders are fetched with TakeOrders.
+func (e *Engine) Pass(now Moment) {
+	e.init()
+	e.watch(now)
+	e.startHeld(now)
+	failed := map[shape]bool{}
+	for _, g := range e.groups(now) {
+		if _, held := e.held[g.batch]; held {
+			continue
+		}
+		key := g.shape()
+		if failed[key] {
+			continue
+		}
+		if !e.place(g, now) {
+			failed[key] = true
+		}
+	}
+}
+
+// shape is what decides whether a group can be placed: after one has failed,
+// others of the same shape would fail in the same pass too.
+type shape struct {
+	pool, label, rack string
+	need              model.Room
+	tasks, perWorker  int
+	oneRack, owed     bool
+	scatter           bool
+	retry             bool
+	priority          int
+}
+
+func (g *group) shape() shape {
+	n := 1
+	if g.step.Gang {
+		n = len(g.waiting)
+	}
+	return shape{
+		pool: g.queue.Pool, label: g.step.Label, rack: g.step.DataRack, need: g.step.Need(), tasks: n,
+		perWorker: g.step.PerWorker, oneRack: g.step.OneRack, owed: g.owed, retry: g.retry(),
+		priority: g.queue.Priority,
+	}
+}
+
+func (g *group) retry() bool {
+	return g.batch.Failures > 0 || slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].Failures > 0 })
+}
+
+// place starts the group, or as many tasks of it as fit if they are no gang; it
+// reports whether all were placed.
+func (e *Engine) place(g *group, now Moment) bool {
+	if g.step.Gang || g.step.OneRack {
+		if spots := e.together(g, now); spots != nil {
+			e.start(g, spots, now)
+			return true
+		}
+		if g.step.Gang {
+			return e.makeRoom(g, now)
+		}
+		if !g.scatters(e, now) {
+			return false
+		}
+	}
+	if e.singly(g, now) {
+		return true
+	}
+	return e.makeRoom(g, now)
+}
+
+// singly places each waiting task for itself; it reports whether all were.
+func (e *Engine) singly(g *group, now Moment) bool {
+	all := g.waiting
+	for _, i := range all {
+		g.waiting = []int{i}
+		spots := e.near(g, now)
+		if spots == nil {
+			g.waiting = slices.DeleteFunc(slices.Clone(all), func(x int) bool { return g.batch.Tasks[x].Phase != Waiting })
+			return false
+		}
+		e.start(g, spots, now)
+	}
+	return true
+}
+
+// near finds a place on the rack of the data, or after a while on any.
+func (e *Engine) near(g *group, now Moment) []*worker {
+	ws := e.candidates(g, now)
+	if g.step.DataRack == "" {
+		return fill(g, ws, (*worker).free)
+	}
+	if spots := fill(g, onRack(ws, g.step.DataRack), (*worker).free); spots != nil {
+		return spots
+	}
+	if !g.scatters(e, now) && e.rackExists(g) {
+		return nil
+	}
+	return fill(g, ws, (*worker).free)
+}
+
+// together finds places for all waiting tasks at once, on one rack if that
+// matters and can be had.
+func (e *Engine) together(g *group, now Moment) []*worker {
+	if !g.step.OneRack {
+		return e.near(g, now)
+	}
+	ws := e.candidates(g, now)
+	if spots := bestRack(g, ws, (*worker).free); spots != nil {
+		return spots
+	}
+	if !g.scatters(e, now) && e.rackCould(g) {
+		return nil
+	}
+	return fill(g, ws, (*worker).free)
+}
+
+// bestRack fills the rack that has least left over afterwards; the rack of the
+// data goes first.
+func bestRack(g *group, ws []*worker, room func(*worker) model.Room) []*worker {
+	var best []*worker
+	least := 0
+	for _, rack := range racks(ws) {
+		on := onRack(ws, rack)
+		spots := fill(g, on, room)
+		if spots == nil {
+			continue
+		}
+		left := 0
+		for _, w := range on {
+			left += max(0, room(w).Accelerators)
+		}
+		if rack == g.step.DataRack {
+			return spots
+		}
+		if best == nil || left < least {
+			best, least = spots, left
+		}
+	}
+	return best
+}
+
+func racks(ws []*worker) []string {
+	var out []string
+	for _, w := range ws {
+		if !slices.Contains(out, w.Rack) {
+			out = append(out, w.Rack)
+		}
+	}
+	return out
+}
+
+func onRack(ws []*worker, rack string) []*worker {
+	var out []*worker
+	for _, w := range ws {
+		if w.Rack == rack {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// rackCould reports whether an idle rack could hold the whole group.
+func (e *Engine) rackCould(g *group) bool {
+	sum := map[string]int{}
+	for _, w := range e.order {
+		if w.Pool == g.queue.Pool {
+			sum[w.Rack] += w.Room.Times(g.step.Need(), e.perWorker(g))
+		}
+	}
+	for _, n := range sum {
+		if n >= len(g.waiting) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) rackExists(g *group) bool {
+	return slices.ContainsFunc(e.order, func(w *worker) bool {
+		return w.Pool == g.queue.Pool && w.Rack == g.step.DataRack && w.Room.Times(g.step.Need(), 1) > 0
+	})
+}
+
+func (e *Engine) perWorker(g *group) int {
+	if g.step.PerWorker > 0 {
+		return g.step.PerWorker
+	}
+	return len(g.batch.Tasks)
+}
+
+// candidates lists the workers that may run the group's tasks.
+func (e *Engine) candidates(g *group, now Moment) []*worker {
+	var out []*worker
+	proven := g.retry()
+	for _, w := range e.order {
+		if w.Pool != g.queue.Pool || !w.open(now) || w.Room.Times(g.step.Need(), 1) == 0 {
+			continue
+		}
+		if g.step.Label != "" && !slices.Contains(w.Labels, g.step.Label) {
+			continue
+		}
+		if proven && (w.strikes > 0 || slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].blamed == w.ID })) {
+			continue
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// fill gives each waiting task of the group a worker out of ws, fullest first,
+// or returns nil if not all fit.
+func fill(g *group, ws []*worker, room func(*worker) model.Room) []*worker {
+	type spot struct {
+		w     *worker
+		n     int
+		left  model.Room
+		rough bool
+	}
+	need := g.step.Need()
+	spots := make([]spot, 0, len(ws))
+	total := 0
+	for _, w := range ws {
+		r := room(w)
+		n := r.Times(need, g.quota(w))
+		if n > 0 {
+			spots = append(spots, spot{w, n, r, w.strikes > 0})
+			total += n
+		}
+	}
+	if total < len(g.waiting) {
+		return nil
+	}
+	slices.SortStableFunc(spots, func(a, b spot) int {
+		if a.rough != b.rough {
+			if a.rough {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.left.Accelerators, b.left.Accelerators), cmp.Compare(a.left.Millicores, b.left.Millicores))
+	})
+	out := make([]*worker, 0, len(g.waiting))
+	for _, s := range spots {
+		for range s.n {
+			if len(out) == len(g.waiting) {
+				return out
+			}
+			out = append(out, s.w)
+		}
+	}
+	return out
+}
+
+// quota is how many of the step's tasks the worker may still get.
+func (g *group) quota(w *worker) int {
+	if g.step.PerWorker <= 0 {
+		return len(g.waiting)
+	}
+	n := g.step.PerWorker
+	for ref := range w.tasks {
+		if ref.Job == g.ref.Job && ref.Time == g.ref.Time && ref.Step == g.ref.Step {
+			n--
+		}
+	}
+	return max(0, min(n, len(g.waiting)))
+}
+
+// start books the waiting tasks on their workers and orders their runs; the
+// members of a gang share a run's number and a checkpoint.
+func (e *Engine) start(g *group, spots []*worker, now Moment) {
+	e.runs++
+	for at, i := range g.waiting {
+		if at > 0 && !g.step.Gang {
+			e.runs++
+		}
+		t := &g.batch.Tasks[i]
+		ref := g.ref
+		ref.Task = i
+		t.Phase, t.Run, t.Worker = Placed, e.runs, spots[at].ID
+		t.Live, t.Stopping, t.percent = false, false, 0
+		t.placedAt, t.movedAt = now.Steady, now.Steady
+		spots[at].tasks[ref] = t
+		spots[at].used = spots[at].used.Plus(g.step.Need(), 1)
+		saved := t.Saved
+		if g.step.Gang {
+			saved = g.batch.Saved
+		}
+		e.orders = append(e.orders, Order{
+			Task: ref, Run: t.Run, Worker: t.Worker, Saved: saved, Reason: g.reason(),
+		})
+	}
+	e.changed[g.ref.Job] = true
+}
+
+func (g *group) reason() string {
+	switch {
+	case g.owed:
+		return "within its workspace's guarantee"
+	case g.band == tooLate:
+		return "room that nobody in time needs"
+	}
+	return "free room"
+}
+
+// watch stops runs whose progress stands still, so that they go elsewhere.
+func (e *Engine) watch(now Moment) {
+	for _, w := range e.order {
+		for ref, t := range w.tasks {
+			j := e.jobs[ref.Job]
+			if j == nil || !t.Live || t.Stopping || j.Work.Steps[ref.Step].Lasts {
+				continue
+			}
+			if now.Steady-t.movedAt > stallAfter(&j.Work.Steps[ref.Step]) {
+				e.stop(ref, t, "its progress stands still")
+				e.strike(w, ref.Job, now)
+			}
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,6 +45,8 @@
 	Timeout time.Duration
 	// MaxConns bounds the connections to the address; 0 means 64.
 	MaxConns int
+	// Header is added to each request; it must not change after the first.
+	Header map[string]string
 	// Send replaces the network, if set; its errors wrap ErrNotSent or ErrNoAnswer.
 	Send func(ctx context.Context, addr, method, path string, body []byte) (status int, answer []byte, err error)
 
@@ -152,6 +154,9 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + c.Addr + path)
 	req.Header.SetContentType("application/json")
+	for name, value := range c.Header {
+		req.Header.Set(name, value)
+	}
 	req.SetBody(data)
 	if err := c.host.DoDeadline(req, resp, c.deadline(ctx)); err != nil {
 		return 0, nil, c.sendError(err)
