Don't take a gang's waiting member for a hung one, and hold only once ends are durable

Cause: a gang's member that has done its work reports 100 percent until the last is through, and was stopped as hung; a worker answers a hold at once while it lists ends that are not acknowledged, so the owner asked it every 4 ms. Ruled out: percent that is not progress (it rises with the work, seen in a worker's answers).

--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -52,6 +52,7 @@
 	// its way, acked the highest that is durable.
 	heard, offered, acked int64
 	silent                bool
+	heldAt                time.Duration // when the last hold was sent
 	holding               bool
 	// ackSent is the highest end whose acknowledgement the worker has answered.
 	ackSent int64
@@ -77,7 +78,7 @@
 	if s.holding || s.ended || s.entry.Addr == "" {
 		return
 	}
-	s.hold(0)
+	s.hold(holdWait)
 }
 
 // due reports whether the worker must be held: something runs there, or ends
@@ -98,11 +99,15 @@
 		s.drop()
 		return
 	}
-	if !s.holding && s.due() {
+	if !s.holding && s.due() && (s.heard == s.acked || now-s.heldAt > holdAgain) {
 		s.hold(0)
 	}
 }
 
+// holdAgain is how long leases are left while ends wait to become durable: a
+// sixth of the shortest lease on the users' sites.
+const holdAgain = time.Second
+
 // lost gives up all runs of a worker that can no longer have them.
 func (s *session) lost(reason string) {
 	n := 0
@@ -161,6 +166,7 @@
 		in.DeadlineMs = s.deadline()
 	}
 	sent := o.lead.now()
+	s.heldAt = sent
 	if in.DeadlineMs > 0 {
 		s.leaseUntil = max(s.leaseUntil, sent+o.leaseTail())
 	}
@@ -220,9 +226,10 @@
 	if len(out.Ended) > 0 {
 		o.passDue = true
 	}
-	if s.due() {
-		// The next hold at once only acknowledges and extends; it waits for
-		// ends unless something has just been acknowledged.
+	// A worker answers at once while it lists ends that are not acknowledged,
+	// so the next hold waits until they are durable; check extends the leases
+	// if that takes long.
+	if s.heard == s.acked && s.due() {
 		s.hold(holdWait)
 	}
 }
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -311,12 +311,16 @@
 	return "free room"
 }
 
+// wholePercent is the progress of a run that has done its work: a member of a
+// gang then waits for the others, so that its progress stands still rightly.
+const wholePercent = 100
+
 // watch stops runs whose progress stands still, so that they go elsewhere.
 func (e *Engine) watch(now Moment) {
 	for _, w := range e.order {
 		for ref, t := range w.tasks {
 			j := e.jobs[ref.Job]
-			if j == nil || !t.Live || t.Stopping || j.Work.Steps[ref.Step].Lasts {
+			if j == nil || !t.Live || t.Stopping || t.percent >= wholePercent || j.Work.Steps[ref.Step].Lasts {
 				continue
 			}
 			if now.Steady-t.movedAt > stallAfter(&j.Work.Steps[ref.Step]) {
