Don't extend the leases of a silent worker, and keep a start without an answer until its stop is answered

Cause: each retry of a hold to a worker that was gone carried a deadline and so put off the time from which its runs can be given up, for ever; and a start without an answer was forgotten once a stop was on its way. Ruled out: the adoption at a takeover, whose runs are settled from the beginning.

--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -162,7 +162,9 @@
 	if s.proven {
 		in.Acked = s.acked
 	}
-	if o.mayOrder() && o.engine.Busy(s.entry.ID) {
+	// A silent worker may still get what is sent: leases are not extended until
+	// it answers, or the runs there could never be given up.
+	if o.mayOrder() && !s.silent && o.engine.Busy(s.entry.ID) {
 		in.DeadlineMs = s.deadline()
 	}
 	sent := o.lead.now()
@@ -196,7 +198,8 @@
 		return
 	}
 	now := o.moment()
-	if s.silent {
+	wasSilent := s.silent
+	if wasSilent {
 		s.setSilent(false, nil)
 	}
 	if s.born != 0 && out.Born != 0 && out.Born != s.born {
@@ -229,7 +232,10 @@
 	// A worker answers at once while it lists ends that are not acknowledged,
 	// so the next hold waits until they are durable; check extends the leases
 	// if that takes long.
-	if s.heard == s.acked && s.due() {
+	switch {
+	case wasSilent && s.due():
+		s.hold(0) // extends the leases, which the last one did not
+	case s.heard == s.acked && s.due():
 		s.hold(holdWait)
 	}
 }
@@ -281,10 +287,11 @@
 // list: they might still begin.
 func (s *session) chase(sent time.Duration) {
 	for ref, u := range s.unclear {
-		if u.at >= sent {
+		if u.at >= sent || u.chased {
 			continue
 		}
-		delete(s.unclear, ref)
+		u.chased = true
+		s.unclear[ref] = u
 		s.o.sendStop(sched.Order{Task: ref, Run: u.run, Stop: true, Worker: s.entry.ID, Reason: "its start got no answer"})
 	}
 }
@@ -480,6 +487,9 @@
 // next hold tells which.
 func (s *session) stopped(order sched.Order, at time.Duration) {
 	o := s.o
+	if s.unclear[order.Task].run == order.Run {
+		delete(s.unclear, order.Task)
+	}
 	if run, worker, placed := o.engine.Present(order.Task); placed && run == order.Run && worker == s.entry.ID {
 		o.settled[order.Task] = settlement{run: order.Run, at: at}
 		if !s.holding {
