Let the larger nodes own the work, and start work that nobody waits for only in idle room

Cause: on the grown sites the owner sat on a node with a fifth of a core; work that is too late to earn anything took room and was thrown away when urgent work came.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -208,14 +208,15 @@
 }
 
 type pulseIn struct {
-	From string `json:"from"`
+	From  string  `json:"from"`
+	Cores float64 `json:"cores"`
 }
 
 // Server returns the gRPC server for the other nodes.
 func (n *Node) Server() *grpc.Server {
 	return peer.Serve(
-		peer.Method("Pulse", func(context.Context, *pulseIn) (*lead.Pulse, error) {
-			p := n.Lead.Pulse()
+		peer.Method("Pulse", func(_ context.Context, in *pulseIn) (*lead.Pulse, error) {
+			p := n.Lead.Pulse(in.Cores)
 			return &p, nil
 		}),
 		peer.Method("Look", func(ctx context.Context, in *lookIn) (*lookOut, error) {
@@ -228,7 +229,7 @@
 // Ask asks the node at addr how it is; it is the Ask of a lead.Lead.
 func (n *Node) Ask(ctx context.Context, addr string) (lead.Pulse, error) {
 	var out lead.Pulse
-	err := n.call(ctx, addr, "Pulse", &pulseIn{From: n.Name}, &out)
+	err := n.call(ctx, addr, "Pulse", &pulseIn{From: n.Name, Cores: n.Lead.Cores}, &out)
 	return out, err
 }
 
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -51,8 +51,18 @@
 	orderBound = 8 * time.Second
 	// storeTimeout bounds one call of the store; a slow one takes about 1 s.
 	storeTimeout = 2500 * time.Millisecond
-	// takeJitter spreads the nodes that find the row free at one moment.
-	takeJitter = 150 * time.Millisecond
+	// takeJitter spreads the nodes that find the row free at one moment; the
+	// larger ones go first by takeStep divided by their cores.
+	takeJitter = 60 * time.Millisecond
+	takeStep   = 60 * time.Millisecond
+	// minCores bounds the delay of the smallest nodes.
+	minCores = 0.1
+	// muchLarger is from how many times an owner's cores another node should
+	// own the work instead.
+	muchLarger = 1.5
+	// settleTime is how long an owner stays before it hands over to a larger
+	// node, and how long the word of one counts.
+	settleTime = 3 * time.Second
 )
 
 // right is the row that names the owner.
@@ -106,6 +116,9 @@
 	Bounds Bounds
 	Log    *event.Log
 	Count  *Counters
+	// Cores is what the machine's processor gives; the owner should sit where
+	// that is most.
+	Cores float64
 	// Plan returns the newest plan known here.
 	Plan func() model.Plan
 	// Ask asks the node at addr how it is; set by the caller.
@@ -118,6 +131,9 @@
 	nonce     uint64
 	resigning atomic.Bool
 	addr      atomic.Pointer[string]
+	// larger is when a node with clearly more cores was last heard of, in ns of
+	// the steady clock.
+	larger atomic.Int64
 
 	mu sync.Mutex
 	// owner is guarded by mu and nil while another node owns the work.
@@ -127,6 +143,9 @@
 	seen    rows.Row // the right row as last read
 	seenAt  time.Duration
 	seenNow bool
+	// yielded is when the work was handed to a larger node, which then has
+	// settleTime to take it.
+	yielded time.Duration
 }
 
 func (l *Lead) now() time.Duration {
@@ -160,8 +179,11 @@
 	return l.owner
 }
 
-// Pulse tells how this node stands.
-func (l *Lead) Pulse() Pulse {
+// Pulse tells a node with the given cores how this one stands.
+func (l *Lead) Pulse(cores float64) Pulse {
+	if cores >= muchLarger*l.Cores && l.Cores > 0 {
+		l.larger.Store(int64(l.now()))
+	}
 	o := l.Own()
 	if o == nil {
 		return Pulse{Addr: l.OwnerAddr()}
@@ -193,6 +215,7 @@
 		case <-o.ctx.Done():
 			l.drop(o)
 		default:
+			l.yield(ctx, o)
 			return
 		}
 	}
@@ -203,6 +226,20 @@
 	l.look(ctx)
 }
 
+// yield hands the work over if a node with clearly more cores is there: an
+// owner that can't keep up holds up the whole fleet.
+func (l *Lead) yield(ctx context.Context, o *Owner) {
+	now := l.now()
+	heard := time.Duration(l.larger.Load())
+	if heard == 0 || now-heard > settleTime || now-o.since < settleTime || !o.rebuilt.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	o.release(ctx)
+	l.yielded = l.now()
+}
+
 func (l *Lead) drop(o *Owner) {
 	o.wait()
 	l.mu.Lock()
@@ -251,10 +288,10 @@
 	}
 	own := r.Owner == l.Node && r.Addr == l.Addr && r.Nonce != l.nonce
 	free := row.Version == 0 || r.Released || own || l.now()-l.seenAt >= takeAfter
-	if !free || l.resigning.Load() {
+	if !free || l.resigning.Load() || l.yielded != 0 && r.Released && l.now()-l.yielded < settleTime {
 		return
 	}
-	sleep(ctx, rand.N(takeJitter))
+	sleep(ctx, rand.N(takeJitter)+time.Duration(float64(takeStep)/max(l.Cores, minCores)))
 	l.take(ctx, row, r)
 }
 
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -44,6 +44,7 @@
 type Owner struct {
 	lead  *Lead
 	epoch int64
+	since time.Duration // when it took the work
 	mine  right
 
 	ctx    context.Context //nolint:containedctx // the owner's lifetime, ended by stop
@@ -85,7 +86,7 @@
 func newOwner(l *Lead, mine right, version uint64, sent time.Duration) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &Owner{
-		lead: l, epoch: mine.Epoch, mine: mine, version: version, ctx: ctx, cancel: cancel,
+		lead: l, epoch: mine.Epoch, since: sent, mine: mine, version: version, ctx: ctx, cancel: cancel,
 		inbox: make(chan func(), inboxSize), work: map[string]*model.Work{}, shown: map[string]sched.State{},
 		cancels: map[string]bool{}, sessions: map[string]*session{}, settled: map[sched.Ref]settlement{},
 		dirty: map[string]bool{},
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -59,6 +59,10 @@
 	// urgentRackWait is how long urgent work waits for a whole rack: a third
 	// of the shortest time in which a share must be reclaimed.
 	urgentRackWait = 900 * time.Millisecond
+	// idleShare of a pool may be in use for work that nobody waits for any
+	// more to start: whatever it takes from others is worth nothing, and the
+	// users' rules ask for it once less than half of the pool is in use.
+	idleShare = 0.6
 	// rejectPause is how long a worker that refused a start gets nothing: as
 	// long as the stop of a run may take, whose room it may still count.
 	rejectPause = 500 * time.Millisecond
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -18,6 +18,9 @@
 		if _, held := e.held[g.batch]; held {
 			continue
 		}
+		if g.band == tooLate && !g.owed && e.usedShare(g.queue.Pool) > idleShare {
+			continue
+		}
 		key := g.shape()
 		if failed[key] {
 			continue
@@ -28,6 +31,25 @@
 	}
 }
 
+// usedShare is the share of a pool's accelerators, or of its cores if that is
+// more, that runs take.
+func (e *Engine) usedShare(pool string) float64 {
+	var used, all model.Room
+	for _, w := range e.order {
+		if w.Pool == pool {
+			used, all = used.Plus(w.used, 1), all.Plus(w.Room, 1)
+		}
+	}
+	share := 0.0
+	if all.Accelerators > 0 {
+		share = float64(used.Accelerators) / float64(all.Accelerators)
+	}
+	if all.Millicores > 0 {
+		share = max(share, float64(used.Millicores)/float64(all.Millicores))
+	}
+	return share
+}
+
 // shape is what decides whether a group can be placed: after one has failed,
 // others of the same shape would fail in the same pass too.
 type shape struct {
