--- /dev/null
+++ b/internal/lead/world_test.go
@@ -0,0 +1,591 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"greengageline/internal/orders"
+	"greengageline/internal/rows"
+	"greengageline/internal/sched"
+	"greengageline/pkg/model"
+)
+
+// memStore is a store in memory with the faults that the platform's has.
+type memStore struct {
+	mu      sync.Mutex
+	rows    map[string]rows.Row
+	log     []rows.Row
+	version uint64
+	changed chan struct{}
+
+	// The seams for faults; nil means none. refuse is asked before a call,
+	// lose after a write has been done, late before one whose answer is lost
+	// and that is done after the returned time.
+	refuse func(who, op string) error
+	lose   func(who string) bool
+	late   func(who string) time.Duration
+	took   time.Duration
+	floor  uint64 // history before this version is gone
+}
+
+func newMemStore() *memStore {
+	return &memStore{rows: map[string]rows.Row{}, changed: make(chan struct{}), took: 10 * time.Millisecond}
+}
+
+// view returns the store as the node who sees it.
+func (m *memStore) view(who string) *rows.Store {
+	return &rows.Store{
+		Commit: func(ctx context.Context, t rows.Txn) (uint64, []rows.Row, error) { return m.commit(ctx, who, t) },
+		Range: func(ctx context.Context, table, from, to string) (rows.Page, error) {
+			return m.get(ctx, who, table, from, to)
+		},
+		Feed: func(ctx context.Context, table string, after uint64, wait time.Duration) (rows.Page, error) {
+			return m.feed(ctx, who, table, after, wait)
+		},
+	}
+}
+
+func (m *memStore) commit(ctx context.Context, who string, t rows.Txn) (uint64, []rows.Row, error) {
+	if err := m.asked(ctx, who, "commit"); err != nil {
+		return 0, nil, err
+	}
+	if m.late != nil {
+		if d := m.late(who); d > 0 {
+			time.AfterFunc(d, func() { m.apply(t) })
+			<-ctx.Done()
+			return 0, nil, rows.ErrUnclear
+		}
+	}
+	v, present, err := m.apply(t)
+	if err == nil && m.lose != nil && m.lose(who) {
+		<-ctx.Done()
+		return 0, nil, rows.ErrUnclear
+	}
+	return v, present, err
+}
+
+func (m *memStore) asked(ctx context.Context, who, op string) error {
+	if m.refuse != nil {
+		if err := m.refuse(who, op); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, m.took)
+	if ctx.Err() != nil {
+		return rows.ErrUnclear
+	}
+	return nil
+}
+
+func (m *memStore) apply(t rows.Txn) (uint64, []rows.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var present []rows.Row
+	ok := true
+	for _, c := range t.If {
+		r := m.rows[c.Table+" "+c.Key]
+		r.Table, r.Key = c.Table, c.Key
+		present = append(present, r)
+		ok = ok && r.Version == c.Version
+	}
+	if !ok {
+		return 0, present, rows.ErrConflict
+	}
+	m.version++
+	for _, p := range t.Put {
+		p.Version = m.version
+		m.rows[p.Table+" "+p.Key] = p
+		m.log = append(m.log, p)
+	}
+	for _, d := range t.Drop {
+		delete(m.rows, d.Table+" "+d.Key)
+		d.Version, d.Gone = m.version, true
+		m.log = append(m.log, d)
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return m.version, nil, nil
+}
+
+func (m *memStore) get(ctx context.Context, who, table, from, to string) (rows.Page, error) {
+	if err := m.asked(ctx, who, "get"); err != nil {
+		return rows.Page{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	page := rows.Page{Version: m.version}
+	for _, r := range m.rows {
+		if r.Table == table && r.Key >= from && (to == "" || r.Key < to) {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b rows.Row) int { return strings.Compare(a.Key, b.Key) })
+	return page, nil
+}
+
+func (m *memStore) feed(ctx context.Context, who, table string, after uint64, wait time.Duration) (rows.Page, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		if err := m.asked(ctx, who, "feed"); err != nil {
+			return rows.Page{}, err
+		}
+		m.mu.Lock()
+		if after < m.floor {
+			m.mu.Unlock()
+			return rows.Page{}, rows.ErrCompacted
+		}
+		page := rows.Page{Version: m.version}
+		for _, r := range m.log {
+			if r.Table == table && r.Version > after {
+				page.Rows = append(page.Rows, r)
+			}
+		}
+		changed := m.changed
+		m.mu.Unlock()
+		left := time.Until(deadline)
+		if len(page.Rows) > 0 || left <= 0 {
+			return page, nil
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			return rows.Page{}, rows.ErrUnclear
+		}
+		timer.Stop()
+	}
+}
+
+// memRun is a run at a memWorker.
+type memRun struct {
+	task    sched.Ref
+	run     int64
+	began   time.Duration
+	takes   time.Duration
+	stopped bool
+	saved   string
+}
+
+// memWorker keeps the rules of the platform's workers: leases, fences, room,
+// runs that are too old, and ends that are listed until acknowledged.
+type memWorker struct {
+	id       string
+	w        *world
+	room     model.Room
+	born     int64
+	gone     bool
+	unlisted bool
+	cut      func(who string) bool // orders and answers do not pass
+	oneWay   bool                  // orders pass, answers do not
+	late     func() time.Duration  // orders without an answer, done later
+	takes    time.Duration
+	fails    bool
+	leaving  bool
+
+	mu       sync.Mutex
+	epoch    int64
+	lease    time.Duration
+	runs     map[sched.Ref]*memRun
+	floor    map[sched.Ref]int64
+	ended    []orders.Ended
+	n        int64
+	clockOff time.Duration
+}
+
+// world is a store, workers and nodes on one clock, with the record of what
+// the workers saw.
+type world struct {
+	base    time.Time
+	store   *memStore
+	mu      sync.Mutex
+	workers map[string]*memWorker
+	starts  []string
+	faults  []string
+	doneRun map[sched.Ref]bool // ends that were acknowledged as done
+	live    map[sched.Ref]string
+	plan    model.Plan
+	work    map[string]*model.Work
+	rnd     *rand.Rand
+}
+
+func newWorld(n int) *world {
+	w := &world{
+		base: time.Now(), store: newMemStore(), workers: map[string]*memWorker{}, doneRun: map[sched.Ref]bool{},
+		live: map[sched.Ref]string{}, work: map[string]*model.Work{}, rnd: rand.New(rand.NewPCG(1, 1)),
+		plan: model.Plan{
+			Version: 1,
+			Queues: []model.Queue{
+				{Name: "urgent", Pool: "p", Attempts: 3, Stretch: 2, AimMs: 500},
+				{Name: "bulk", Pool: "p", Priority: 1, Attempts: 2, Stretch: 3, AimMs: 1000},
+			},
+			Spaces: []model.PlanSpace{{Name: "ws", Keys: []string{"k"}, Guaranteed: 16}},
+		},
+	}
+	for i := range n {
+		id := fmt.Sprintf("w%d", i)
+		w.workers[id] = &memWorker{
+			id: id, w: w, room: model.Room{Millicores: 64000, MemoryMB: 256000, Accelerators: 8}, born: 1,
+			takes: time.Second, runs: map[sched.Ref]*memRun{}, floor: map[sched.Ref]int64{},
+		}
+	}
+	return w
+}
+
+func (w *world) now() time.Duration { return time.Since(w.base) }
+
+func (w *world) fault(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf("%s: ", w.now())+fmt.Sprintf(format, args...))
+}
+
+// fleet returns the workers as the node who reaches them.
+func (w *world) fleet(who string) *orders.Fleet {
+	return &orders.Fleet{
+		List: func(ctx context.Context) ([]orders.Entry, error) {
+			if err := w.store.asked(ctx, who, "list"); err != nil {
+				return nil, err
+			}
+			return w.entries(), nil
+		},
+		Hold: func(ctx context.Context, e orders.Entry, in orders.Hold) (orders.Held, error) {
+			m := w.worker(e.ID)
+			if err := m.pass(ctx, who, nil); err != nil {
+				return orders.Held{}, err
+			}
+			return m.hold(ctx, in)
+		},
+		Start: func(ctx context.Context, e orders.Entry, in orders.Start) (int64, error) {
+			m := w.worker(e.ID)
+			if err := m.pass(ctx, who, func() { _, _ = m.start(in) }); err != nil {
+				return 0, err
+			}
+			clock, err := m.start(in)
+			if m.oneWay {
+				<-ctx.Done()
+				return 0, orders.ErrUnclear
+			}
+			return clock, err
+		},
+		Stop: func(ctx context.Context, e orders.Entry, task sched.Ref, run, epoch int64) error {
+			m := w.worker(e.ID)
+			if err := m.pass(ctx, who, func() { _ = m.stop(task, run, epoch) }); err != nil {
+				return err
+			}
+			return m.stop(task, run, epoch)
+		},
+	}
+}
+
+func (w *world) worker(id string) *memWorker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[id]
+}
+
+func (w *world) entries() []orders.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []orders.Entry
+	for id, m := range w.workers {
+		m.mu.Lock()
+		if !m.gone && !m.unlisted {
+			out = append(out, orders.Entry{
+				Worker: sched.Worker{ID: id, Pool: "p", Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving},
+				Addr:   id, Born: m.born,
+			})
+		}
+		m.mu.Unlock()
+	}
+	slices.SortFunc(out, func(a, b orders.Entry) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+const travel = 2 * time.Millisecond
+
+func (m *memWorker) pass(ctx context.Context, who string, later func()) error {
+	sleep(ctx, travel)
+	if m.cut != nil && m.cut(who) {
+		<-ctx.Done()
+		return orders.ErrUnclear
+	}
+	if m.gone {
+		<-ctx.Done()
+		return orders.ErrUnclear
+	}
+	if m.late != nil && later != nil {
+		if d := m.late(); d > 0 {
+			time.AfterFunc(d, later)
+			<-ctx.Done()
+			return orders.ErrUnclear
+		}
+	}
+	return nil
+}
+
+func (m *memWorker) clock() int64 { return (m.w.now() + m.clockOff).Milliseconds() + 1000 }
+
+// fenced notes the epoch and reports whether it is lower than a former one.
+func (m *memWorker) fenced(epoch int64) bool {
+	if epoch < m.epoch {
+		return true
+	}
+	m.epoch = epoch
+	return false
+}
+
+const (
+	longestLease = 6 * time.Second
+	killTime     = 300 * time.Millisecond
+)
+
+func (m *memWorker) extend(deadlineMs int64) {
+	d := time.Duration(deadlineMs-1000) * time.Millisecond
+	m.lease = max(m.lease, min(d, m.w.now()+longestLease))
+}
+
+func (m *memWorker) hold(ctx context.Context, in orders.Hold) (orders.Held, error) {
+	until := m.w.now() + in.Wait
+	for {
+		m.mu.Lock()
+		if m.fenced(in.Epoch) {
+			m.mu.Unlock()
+			return orders.Held{}, orders.ErrFenced
+		}
+		m.forget(in.Acked)
+		m.turn()
+		if in.DeadlineMs > 0 {
+			m.extend(in.DeadlineMs)
+			in.DeadlineMs = 0
+		}
+		out := orders.Held{Born: m.born, ClockMs: m.clock(), Ended: slices.Clone(m.ended)}
+		for _, r := range m.runs {
+			p := int(100 * (m.w.now() - r.began) / max(1, r.takes))
+			out.Running = append(out.Running, orders.Running{Task: r.task, Run: r.run, Saved: r.saved, Percent: min(p, 100)})
+		}
+		gone, oneWay := m.gone, m.oneWay
+		m.mu.Unlock()
+		if gone || oneWay {
+			<-ctx.Done()
+			return orders.Held{}, orders.ErrUnclear
+		}
+		if len(out.Ended) > 0 || m.w.now() >= until {
+			sleep(ctx, travel)
+			return out, ctx.Err()
+		}
+		sleep(ctx, 10*time.Millisecond)
+		if ctx.Err() != nil {
+			return orders.Held{}, orders.ErrUnclear
+		}
+	}
+}
+
+func (m *memWorker) forget(acked int64) {
+	for len(m.ended) > 0 && m.ended[0].N <= acked {
+		e := m.ended[0]
+		if e.Cause == sched.Done && m.w.now() <= m.lease {
+			m.w.mu.Lock()
+			m.w.doneRun[e.Task] = true
+			m.w.mu.Unlock()
+		}
+		m.ended = m.ended[1:]
+	}
+}
+
+// turn ends what is through, stopped, or without a lease.
+func (m *memWorker) turn() {
+	now := m.w.now()
+	for ref, r := range m.runs {
+		switch {
+		case now > m.lease:
+			m.end(ref, r, sched.Lapsed)
+		case r.stopped && now >= r.began+r.takes:
+			m.end(ref, r, sched.Stopped)
+		case now >= r.began+r.takes && m.fails:
+			m.end(ref, r, sched.Failed)
+		case now >= r.began+r.takes:
+			m.end(ref, r, sched.Done)
+		}
+	}
+}
+
+func (m *memWorker) end(ref sched.Ref, r *memRun, cause sched.Cause) {
+	delete(m.runs, ref)
+	m.floor[ref] = max(m.floor[ref], r.run)
+	m.n++
+	m.ended = append(m.ended, orders.Ended{N: m.n, Task: ref, Run: r.run, Cause: cause, Saved: r.saved})
+	m.w.mu.Lock()
+	if m.w.live[ref] == m.id {
+		delete(m.w.live, ref)
+	}
+	m.w.mu.Unlock()
+}
+
+func (m *memWorker) start(in orders.Start) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone {
+		return 0, orders.ErrUnclear
+	}
+	if m.fenced(in.Epoch) {
+		return m.clock(), orders.ErrFenced
+	}
+	m.turn()
+	if r := m.runs[in.Task]; r != nil && r.run == in.Run {
+		return m.clock(), nil
+	}
+	if m.floor[in.Task] >= in.Run || m.runs[in.Task] != nil {
+		return m.clock(), orders.ErrOld
+	}
+	if in.DeadlineMs < m.clock() {
+		return m.clock(), orders.ErrLate
+	}
+	step := m.w.stepOf(in.Task)
+	used := model.Room{}
+	for ref := range m.runs {
+		used = used.Plus(m.w.stepOf(ref).Each, 1)
+	}
+	if m.room.Minus(used, 1).Times(step.Each, 1) < 1 {
+		return m.clock(), orders.ErrNoRoom
+	}
+	m.extend(in.DeadlineMs)
+	m.runs[in.Task] = &memRun{task: in.Task, run: in.Run, began: m.w.now(), takes: m.takes}
+	m.w.began(in.Task, m.id)
+	return m.clock(), nil
+}
+
+func (m *memWorker) stop(task sched.Ref, run, epoch int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone {
+		return orders.ErrUnclear
+	}
+	if m.fenced(epoch) {
+		return orders.ErrFenced
+	}
+	m.floor[task] = max(m.floor[task], run)
+	if r := m.runs[task]; r != nil && r.run <= run && !r.stopped {
+		r.stopped = true
+		r.takes = m.w.now() - r.began + killTime
+	}
+	return nil
+}
+
+func (w *world) stepOf(ref sched.Ref) model.Step {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.work[ref.Job].Steps[ref.Step]
+}
+
+// began checks that a start breaks no promise.
+func (w *world) began(ref sched.Ref, worker string) {
+	w.mu.Lock()
+	at, twice := w.live[ref]
+	other := w.workers[at]
+	done := w.doneRun[ref]
+	w.live[ref] = worker
+	w.starts = append(w.starts, ref.String())
+	w.mu.Unlock()
+	if done {
+		w.fault("%s starts after it was done", ref)
+	}
+	if !twice || other == nil || at == worker || other.gone {
+		return
+	}
+	other.mu.Lock()
+	alive := w.now() <= other.lease && other.runs[ref] != nil
+	other.mu.Unlock()
+	if alive {
+		w.fault("%s runs on %s and %s", ref, at, worker)
+	}
+}
+
+// submit writes a job as a node does.
+func (w *world) submit(id, queue string, steps ...model.Step) {
+	work := &model.Work{ID: id, Workspace: "ws", Steps: steps, AcceptedMs: time.Now().UnixMilli()}
+	for _, q := range w.plan.Queues {
+		if q.Name == queue {
+			work.Queue = q
+		}
+	}
+	value, err := json.Marshal(work)
+	if err != nil {
+		panic(err)
+	}
+	w.mu.Lock()
+	w.work[id] = work
+	w.mu.Unlock()
+	_, _, _ = w.store.apply(rows.Txn{Put: []rows.Row{{Table: WorkTable, Key: id, Value: value}}})
+}
+
+func (w *world) cancel(id string) {
+	_, _, _ = w.store.apply(rows.Txn{Put: []rows.Row{{Table: WorkTable, Key: id + CancelSuffix, Value: []byte("{}")}}})
+}
+
+// node is one node's part in the ownership, with a clock that can be paused.
+type node struct {
+	*Lead
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// nodes starts n nodes that ask each other.
+func (w *world) nodes(ctx context.Context, n int, asks func(from, to string) error) []*node {
+	out := make([]*node, n)
+	byAddr := map[string]*node{}
+	for i := range n {
+		name := fmt.Sprintf("n%d", i)
+		l := &Lead{
+			Node: name, Addr: name, Rows: w.store.view(name), Fleet: w.fleet(name), Cores: 0.4,
+			Bounds: Bounds{MaxHold: longestLease, KillGrace: killTime, KeepEnded: 2 * time.Minute, Factor: 3},
+			Plan:   func() model.Plan { return w.plan },
+			Now:    w.now,
+		}
+		l.Ask = func(ctx context.Context, addr string) (Pulse, error) {
+			if asks != nil {
+				if err := asks(name, addr); err != nil {
+					return Pulse{}, err
+				}
+			}
+			sleep(ctx, travel)
+			return byAddr[addr].Pulse(l.Cores), nil
+		}
+		out[i] = &node{Lead: l, done: make(chan struct{})}
+		byAddr[name] = out[i]
+	}
+	for _, nd := range out {
+		runCtx, cancel := context.WithCancel(ctx)
+		nd.cancel = cancel
+		go func() {
+			defer close(nd.done)
+			nd.Run(runCtx)
+		}()
+	}
+	return out
+}
+
+// kill ends a node as a crash does: nothing of it is carried out any more.
+func (n *node) kill() {
+	n.cancel()
+	if o := n.Own(); o != nil {
+		o.cancel()
+		o.wait()
+	}
+	<-n.done
+}
+
+// state returns a job's stored state.
+func (w *world) state(id string) sched.State {
+	look, err := StateOf(context.Background(), w.store.view("test"), id)
+	if err != nil || !look.Known {
+		return ""
+	}
+	return look.State
+}
--- a/internal/sched/end.go
+++ b/internal/sched/end.go
@@ -15,7 +15,10 @@
 		t.movedAt = now.Steady
 	}
 	t.Live, t.percent = true, percent
-	j.Begun = true
+	if !j.Begun {
+		j.Begun = true
+		e.changed[ref.Job] = true
+	}
 	if saved == "" {
 		return
 	}
