Stop a run again that goes on although its stop was decided

Cause: a new owner decides to stop the runs of cancelled jobs before it has read the workers' addresses, and such a stop was dropped for good. Ruled out: a lost cancellation, which is in the feed. Test: TestCancelSurvivesTheOwner, red before.

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -350,6 +350,31 @@
 	})
 }
 
+// The owner dies before it has stopped what a cancelled job runs; the next one
+// learns of the runs and the cancellation before it knows any worker's address.
+func TestCancelSurvivesTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, nodes, stop := begin(2, 3)
+		defer stop()
+		for _, m := range w.workers {
+			m.takes = time.Minute
+		}
+		w.submit("a", "bulk", oneGPU(4))
+		time.Sleep(time.Second)
+		owner(nodes).kill()
+		w.cancel("a")
+		w.store.took = 300 * time.Millisecond // the list comes after the first tick
+		time.Sleep(8 * time.Second)
+		is.Equal(w.state("a"), sched.Cancelled)
+		for _, m := range w.workers {
+			m.mu.Lock()
+			is.Equal(len(m.runs), 0) // nothing runs on
+			m.mu.Unlock()
+		}
+	})
+}
+
 // An owner that was suspended wakes up after another has taken over: none of
 // its orders may take effect.
 func TestSuspendedOwnerChangesNothing(t *testing.T) {
@@ -422,4 +447,3 @@
 		is.Equal(w.faults, nil)
 	})
 }
-
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -56,6 +56,8 @@
 	holding               bool
 	// ackSent is the highest end whose acknowledgement the worker has answered.
 	ackSent int64
+	// stopSent is when the stop of a run was last ordered.
+	stopSent map[sched.Ref]time.Duration
 	// starting has the starts on their way, unclear those without an answer.
 	starting map[sched.Ref]int64
 	unclear  map[sched.Ref]settlement
@@ -67,6 +69,7 @@
 	if s == nil {
 		s = &session{
 			o: o, entry: e, wake: make(chan struct{}, 1), slots: make(chan struct{}, startsAtOnce),
+			stopSent: map[sched.Ref]time.Duration{},
 			starting: map[sched.Ref]int64{}, unclear: map[sched.Ref]settlement{},
 		}
 		o.sessions[e.ID] = s
@@ -240,10 +243,18 @@
 	}
 }
 
-// stopStray stops a run that the records don't know as the task's present one.
+// stopAgain is how long a run may be listed after its stop was sent: longer than
+// the stop itself takes on any site.
+const stopAgain = 1200 * time.Millisecond
+
+// stopStray stops a run that the records don't know as the task's present one,
+// and one whose stop never reached the worker.
 func (s *session) stopStray(r orders.Running) {
 	run, worker, placed := s.o.engine.Present(r.Task)
 	if placed && run == r.Run && worker == s.entry.ID {
+		if s.o.engine.Stopping(r.Task) && s.o.lead.now()-s.stopSent[r.Task] > stopAgain {
+			s.o.sendStop(sched.Order{Task: r.Task, Run: r.Run, Stop: true, Worker: s.entry.ID, Reason: "it runs on after its stop was decided"})
+		}
 		return
 	}
 	if placed && run > r.Run && worker == s.entry.ID {
@@ -259,6 +270,7 @@
 	}
 	s.heard = e.N
 	delete(s.unclear, e.Task)
+	delete(s.stopSent, e.Task)
 	run, worker, placed := s.o.engine.Present(e.Task)
 	if placed && run == e.Run && worker != s.entry.ID {
 		return
@@ -446,6 +458,7 @@
 		return
 	}
 	e := s.entry
+	s.stopSent[order.Task] = o.lead.now()
 	o.lead.Log.Emit(event.TaskStopped).Str("task", order.Task.String()).Int64("run", order.Run).Str("worker", order.Worker).
 		Str("reason", order.Reason).Int64("epoch", o.epoch).Send()
 	o.spawn(func() {
