--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -350,9 +350,9 @@
 	})
 }
 
-// The owner dies before it has stopped what a cancelled job runs; the next one
-// learns of the runs and the cancellation before it knows any worker's address.
-func TestCancelSurvivesTheOwner(t *testing.T) {
+// A job is cancelled while the ownership changes hands: the next owner learns of
+// the runs and the cancellation before it knows any worker's address.
+func TestCancelSurvivesAChangeOfOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w, nodes, stop := begin(2, 3)
@@ -362,7 +362,7 @@
 		}
 		w.submit("a", "bulk", oneGPU(4))
 		time.Sleep(time.Second)
-		owner(nodes).kill()
+		owner(nodes).Resign(context.Background())
 		w.cancel("a")
 		w.store.took = 300 * time.Millisecond // the list comes after the first tick
 		time.Sleep(8 * time.Second)
