Serve callers through the owner when the store refuses or does not answer a node

Cause: a node that the store leaves without an answer held a caller's job for 2.6 s and then gave 504, so that urgent work came seconds late. Ruled out: a shorter time-out alone, as a slow store needs a second. What can't be told is still 504.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -194,19 +194,6 @@
 // Draining reports whether a planned stop has begun.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
-// lookIn asks the owner about a job, or about a queue if Queue is set.
-type lookIn struct {
-	ID    string `json:"id,omitempty"`
-	Queue string `json:"queue,omitempty"`
-}
-
-type lookOut struct {
-	Look      lead.Look `json:"look"`
-	Unstarted int       `json:"unstarted,omitempty"`
-	// OK is false if the node can't tell.
-	OK bool `json:"ok"`
-}
-
 type pulseIn struct {
 	From  string  `json:"from"`
 	Cores float64 `json:"cores"`
@@ -219,10 +206,7 @@
 			p := n.Lead.Pulse(in.Cores)
 			return &p, nil
 		}),
-		peer.Method("Look", func(ctx context.Context, in *lookIn) (*lookOut, error) {
-			out := n.lookHere(ctx, *in)
-			return &out, nil
-		}),
+		peer.Method("Serve", n.serveRelayed),
 	)
 }
 
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -24,8 +24,8 @@
 	Plan      uint64
 }
 
-// Admit finds the queue of a request and checks its key.
-func (n *Node) Admit(host, path, key string) (Grant, error) {
+// admit finds the queue of a request and checks its key.
+func (n *Node) admit(host, path, key string) (Grant, error) {
 	if err := n.fresh(); err != nil {
 		return Grant{}, err
 	}
@@ -51,17 +51,16 @@
 	retryPause = 30 * time.Millisecond
 	// answerMargin is left of a caller's time for the answer's way back.
 	answerMargin = 100 * time.Millisecond
+	// readStore bounds a read of the store.
+	readStore = 1500 * time.Millisecond
 )
 
-// Submit makes work durable; it returns nil if it is, also by an earlier
-// request. An error that wraps ErrNotReady or ErrBusy is a promise that the
-// work does not run by this request.
-func (n *Node) Submit(ctx context.Context, g Grant, w model.Work) error {
+// submit makes work durable; it succeeds also if an earlier request did.
+func (n *Node) submit(ctx context.Context, g Grant, w model.Work) error {
 	w.Queue, w.Workspace = g.Queue, g.Workspace
 	w.Queue.Host, w.Queue.Prefix = "", ""
 	w.AcceptedMs = time.Now().UnixMilli()
 	if err := w.Check(); err != nil {
-		n.logRefused(w.ID, g, err)
 		return err
 	}
 	value, err := json.Marshal(w)
@@ -75,7 +74,6 @@
 		Put: []rows.Row{row},
 	})
 	if err != nil {
-		n.logRefused(w.ID, g, err)
 		return err
 	}
 	n.Log.Emit(event.WorkAccepted).Str("job", w.ID).Str("queue", g.Queue.Name).Str("workspace", g.Workspace).
@@ -86,10 +84,6 @@
 	return nil
 }
 
-func (n *Node) logRefused(id string, g Grant, err error) {
-	n.Log.Emit(event.WorkRefused).Str("job", id).Str("queue", g.Queue.Name).Uint64("plan", g.Plan).Err(err).Send()
-}
-
 // write commits a transaction that is conditional on a row's absence, in a
 // bounded number of tries; repeated tells that the row was there already.
 func (n *Node) write(ctx context.Context, txn rows.Txn) (repeated bool, err error) {
@@ -119,10 +113,10 @@
 	return false, fmt.Errorf("%w: %w", ErrBusy, err)
 }
 
-// Cancel makes a job's cancellation durable; found tells whether the job is
+// cancel makes a job's cancellation durable; found tells whether the job is
 // known. A cancellation of an unknown job is kept too, since its acceptance
 // may still be on its way.
-func (n *Node) Cancel(ctx context.Context, id string) (found bool, err error) {
+func (n *Node) cancel(ctx context.Context, id string) (found bool, err error) {
 	work, err := n.Rows.Get(ctx, lead.WorkTable, id)
 	if err != nil {
 		return false, fmt.Errorf("%w: %w", ErrBusy, err)
@@ -138,17 +132,13 @@
 	return work.Version != 0, nil
 }
 
-const (
-	// askOwner bounds a question to the owner before the store is read instead.
-	askOwner = 350 * time.Millisecond
-	// readStore bounds that read.
-	readStore = 1500 * time.Millisecond
-)
-
-// Look returns a job's state: the owner's word, or what the store holds.
-func (n *Node) Look(ctx context.Context, id string) (lead.Look, error) {
-	if out, ok := n.askOwner(ctx, lookIn{ID: id}); ok && out.Look.Known {
-		return out.Look, nil
+// look returns a job's state: the owner's word if it runs here and knows the
+// job, else what the store holds.
+func (n *Node) look(ctx context.Context, id string) (lead.Look, error) {
+	if o := n.Lead.Own(); o != nil {
+		if look, ok := o.Look(ctx, id); ok && look.Known {
+			return look, nil
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, readStore)
 	defer cancel()
@@ -159,10 +149,12 @@
 	return look, nil
 }
 
-// Unstarted counts a queue's accepted jobs of which nothing has started.
-func (n *Node) Unstarted(ctx context.Context, queue string) (int, error) {
-	if out, ok := n.askOwner(ctx, lookIn{Queue: queue}); ok {
-		return out.Unstarted, nil
+// unstarted counts a queue's accepted jobs of which nothing has started.
+func (n *Node) unstarted(ctx context.Context, queue string) (int, error) {
+	if o := n.Lead.Own(); o != nil {
+		if count, ok := o.Unstarted(ctx, queue); ok {
+			return count, nil
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, readStore)
 	defer cancel()
@@ -205,42 +197,9 @@
 	return count, nil
 }
 
-// askOwner asks the owner, here or at another node.
-func (n *Node) askOwner(ctx context.Context, in lookIn) (lookOut, bool) {
-	ctx, cancel := context.WithTimeout(ctx, askOwner)
-	defer cancel()
-	if n.Lead.Own() != nil {
-		out := n.lookHere(ctx, in)
-		return out, out.OK
-	}
-	addr := n.Lead.OwnerAddr()
-	if addr == "" || addr == n.Lead.Addr {
-		return lookOut{}, false
-	}
-	var out lookOut
-	if err := n.call(ctx, addr, "Look", &in, &out); err != nil {
-		return out, false
-	}
-	return out, out.OK
-}
-
-func (n *Node) lookHere(ctx context.Context, in lookIn) lookOut {
-	var out lookOut
-	o := n.Lead.Own()
-	if o == nil {
-		return out
-	}
-	if in.Queue != "" {
-		out.Unstarted, out.OK = o.Unstarted(ctx, in.Queue)
-		return out
-	}
-	out.Look, out.OK = o.Look(ctx, in.ID)
-	return out
-}
-
-// Within returns the time that a request may take, given what its caller waits
+// within returns the time that a request may take, given what its caller waits
 // and the queue's own limit; 0 means none.
-func Within(caller time.Duration, q model.Queue) time.Duration {
+func within(caller time.Duration, q model.Queue) time.Duration {
 	limit := time.Duration(q.TimeoutMs) * time.Millisecond
 	if caller > 0 && (limit == 0 || caller < limit) {
 		limit = caller
