Hand the work over at once when an owner has released it

Cause: an owner that had released the work still called itself the owner in its pulse until its last calls had run out, up to 2.7 s. Test: TestResignHandsOverAtOnce, red before.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -183,6 +183,15 @@
 
 // Own returns the owner that runs in this process, or nil.
 func (l *Lead) Own() *Owner {
+	o := l.last()
+	if o == nil || o.ctx.Err() != nil {
+		return nil
+	}
+	return o
+}
+
+// last returns the owner that ran here last, even if it has ended.
+func (l *Lead) last() *Owner {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.owner
@@ -220,13 +229,11 @@
 
 func (l *Lead) turn(ctx context.Context) {
 	if o := l.Own(); o != nil {
-		select {
-		case <-o.ctx.Done():
-			l.drop(o)
-		default:
-			l.yield(ctx, o)
-			return
-		}
+		l.yield(ctx, o)
+		return
+	}
+	if l.last() != nil {
+		l.drop()
 	}
 	if l.resigning.Load() {
 		return
@@ -253,8 +260,8 @@
 	l.yielded = l.now()
 }
 
-func (l *Lead) drop(o *Owner) {
-	o.wait()
+// drop forgets an owner that has ended; its last calls run out by themselves.
+func (l *Lead) drop() {
 	l.mu.Lock()
 	l.owner = nil
 	l.mu.Unlock()
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -410,6 +410,28 @@
 	})
 }
 
+// A planned stop costs urgent work little: calls of the owner before may still
+// be on their way when it has released the work.
+func TestResignHandsOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, nodes, stop := begin(4, 3)
+		defer stop()
+		for _, m := range w.workers {
+			m.stubborn = true
+		}
+		w.submitAll(6)
+		time.Sleep(300 * time.Millisecond)
+		old := owner(nodes)
+		old.Resign(context.Background())
+		from := w.now()
+		for owner(nodes) == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(w.now()-from < time.Second)
+	})
+}
+
 // The larger node takes the work over from a small one.
 func TestLargerNodeOwnsTheWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -188,6 +188,7 @@
 	takes    time.Duration
 	fails    bool
 	leaving  bool
+	stubborn bool // a hold does not end with its context, as a call may not
 
 	mu       sync.Mutex
 	epoch    int64
@@ -352,6 +353,9 @@
 }
 
 func (m *memWorker) hold(ctx context.Context, in orders.Hold) (orders.Held, error) {
+	if m.stubborn {
+		ctx = context.WithoutCancel(ctx)
+	}
 	until := m.w.now() + in.Wait
 	for {
 		m.mu.Lock()
@@ -574,7 +578,7 @@
 // kill ends a node as a crash does: nothing of it is carried out any more.
 func (n *node) kill() {
 	n.cancel()
-	if o := n.Own(); o != nil {
+	if o := n.last(); o != nil {
 		o.cancel()
 		o.wait()
 	}
