Make a lost start good in half a second, and take over from an owner that only others can write for

Cause: a start without an answer was looked into only after the hold on its way had come back, up to 2 s, and its gang then began anew; an owner cut from the store was replaced after 2.5 s although the store answered the others at once; a silent connection to the store held the owner for 2.5 s. Change: a hold of its own at once, a start's time-out of 350 ms, a member whose start did nothing joins its gang elsewhere in the same run, and the take-over limit of a dead owner if the store answers within 100 ms.

--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -123,9 +123,11 @@
 	}
 	f.txn.If = []rows.Row{{Table: RightTable, Key: rightKey, Version: o.version}}
 	f.txn.Put = append(f.txn.Put, rows.Row{Table: RightTable, Key: rightKey, Value: value})
+	limit := firstTry
 	for pause := retryMin; o.ctx.Err() == nil; pause = min(2*pause, retryMax) {
 		f.sent = o.lead.now()
-		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(o.ctx, limit)
+		limit = min(2*limit, storeTimeout)
 		version, present, err := o.lead.Rows.Commit(ctx, f.txn)
 		cancel()
 		if errors.Is(err, rows.ErrConflict) {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -39,22 +39,28 @@
 	// the store answers: a third of deadAfter.
 	renewEvery = 400 * time.Millisecond
 	// takeAfter is how long the row of an owner that answers stands unchanged
-	// before another node takes it. A store that is 80 times slower than usual
+	// before another node takes it while the store is slow. A store that is 80 times slower than usual
 	// still takes a renewal in less.
 	takeAfter = 2500 * time.Millisecond
-	// deadAfter is the same for an owner that does not answer either: three
-	// renewals. Taking it too early is safe, as the row and the workers fence
+	// deadAfter is the same for an owner that does not answer, or that writes
+	// nothing while the store answers promptly: three renewals. Taking it too early is safe, as the row and the workers fence
 	// the owner before off; urgent work has about 1.5 s to spare.
 	deadAfter = 1200 * time.Millisecond
 	// staleAfter is the age of an owner's last commit from which the others
 	// look at its row for themselves.
-	staleAfter = 1500 * time.Millisecond
+	staleAfter = time.Second
 	// orderBound is how long after its last commit an owner still extends
 	// leases: longer than the store's outages on the users' sites, since
 	// nobody else can take over while it is out.
 	orderBound = 8 * time.Second
 	// storeTimeout bounds one call of the store; a slow one takes about 1 s.
 	storeTimeout = 2500 * time.Millisecond
+	// promptRead is how fast a read of the store shows that it is not the store
+	// which holds an owner up: some 20 times its usual answer.
+	promptRead = 100 * time.Millisecond
+	// firstTry bounds the first sending of a transaction, storeTimeout later
+	// ones: a connection may be silent while a new one works.
+	firstTry = 600 * time.Millisecond
 	// takeJitter spreads the nodes that find the row free at one moment; the
 	// larger ones go first by takeStep divided by their cores.
 	takeJitter = 60 * time.Millisecond
@@ -290,6 +296,7 @@
 // look reads the row and takes it if it is free: absent, released, or unchanged
 // for too long while the store answered.
 func (l *Lead) look(ctx context.Context, answers bool) {
+	asked := l.now()
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	row, err := l.Rows.Get(readCtx, RightTable, rightKey)
 	cancel()
@@ -315,7 +322,7 @@
 	}
 	own := r.Owner == l.Node && r.Addr == l.Addr && r.Nonce != l.nonce
 	limit := deadAfter
-	if answers {
+	if answers && l.now()-asked > promptRead {
 		limit = takeAfter
 	}
 	free := row.Version == 0 || r.Released || own || l.now()-l.seenAt >= limit
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -99,7 +99,7 @@
 	}
 	o.committedAt.Store(int64(sent))
 	o.committed.Store(version)
-	o.engine.Limits = sched.Limits{FirstRun: mine.Epoch * runsPerEpoch, Factor: l.Bounds.Factor}
+	o.engine.Limits = sched.Limits{FirstRun: mine.Epoch * runsPerEpoch, Factor: l.Bounds.Factor, GangWait: l.Bounds.GangWait}
 	return o
 }
 
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -14,9 +14,12 @@
 	// holdWait is how long a worker waits with its answer for a run to end;
 	// the most that the platform's workers do.
 	holdWait = 2 * time.Second
-	// orderTimeout bounds an order besides the time that the worker may wait:
-	// a round trip takes a few ms, and a gang's members wait 3 s for the last.
-	orderTimeout = 700 * time.Millisecond
+	// orderTimeout bounds a start or a stop: a round trip takes a few ms, and a
+	// gang's members wait 3 s for the last, in which a lost start is found out
+	// and made good.
+	orderTimeout = 350 * time.Millisecond
+	// holdSlack bounds a hold besides the time that the worker may wait.
+	holdSlack = 700 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 250 * time.Millisecond
 	// startsAtOnce bounds the starts on their way to one worker, whose
@@ -53,7 +56,7 @@
 	heard, offered, acked int64
 	silent                bool
 	heldAt                time.Duration // when the last hold was sent
-	holding               bool
+	holds                 int           // holds on their way
 	// ackSent is the highest end whose acknowledgement the worker has answered.
 	ackSent int64
 	// stopSent is when the stop of a run was last ordered.
@@ -78,7 +81,7 @@
 }
 
 func (s *session) poke() {
-	if s.holding || s.ended || s.entry.Addr == "" {
+	if s.holds > 0 || s.ended || s.entry.Addr == "" {
 		return
 	}
 	s.hold(holdWait)
@@ -102,7 +105,7 @@
 		s.drop()
 		return
 	}
-	if !s.holding && s.due() && (s.heard == s.acked || now-s.heldAt > holdAgain) {
+	if s.holds == 0 && s.due() && (s.heard == s.acked || now-s.heldAt > holdAgain) {
 		s.hold(0)
 	}
 }
@@ -175,14 +178,14 @@
 	if in.DeadlineMs > 0 {
 		s.leaseUntil = max(s.leaseUntil, sent+o.leaseTail())
 	}
-	s.holding = true
+	s.holds++
 	e := s.entry
 	o.spawn(func() {
 		if !o.mayOrder() {
-			o.post(func() { s.holding = false })
+			o.post(func() { s.holds-- })
 			return
 		}
-		ctx, cancel := context.WithTimeout(o.ctx, wait+orderTimeout)
+		ctx, cancel := context.WithTimeout(o.ctx, wait+holdSlack)
 		out, err := o.lead.Fleet.Hold(ctx, e, in)
 		cancel()
 		o.post(func() { s.held(sent, in, out, err) })
@@ -191,7 +194,7 @@
 
 func (s *session) held(sent time.Duration, in orders.Hold, out orders.Held, err error) {
 	o := s.o
-	s.holding = false
+	s.holds--
 	o.lead.Count.order("hold", err)
 	if s.ended {
 		return
@@ -235,6 +238,9 @@
 	// A worker answers at once while it lists ends that are not acknowledged,
 	// so the next hold waits until they are durable; check extends the leases
 	// if that takes long.
+	if s.holds > 0 {
+		return
+	}
 	switch {
 	case wasSilent && s.due():
 		s.hold(0) // extends the leases, which the last one did not
@@ -327,7 +333,7 @@
 }
 
 func (s *session) poke2() {
-	if !s.holding && s.due() {
+	if s.holds == 0 && s.due() {
 		s.hold(0)
 	}
 }
@@ -390,7 +396,7 @@
 	switch {
 	case err != nil:
 		err = notSent(err)
-	case !o.mayStart() || o.lead.now()-due > orderTimeout:
+	case !o.mayStart() || o.lead.now()-due > holdSlack:
 		// The process was suspended, or the queue to the worker is long.
 		err = orders.ErrNotSent
 	default:
@@ -424,7 +430,7 @@
 	if run, worker, placed := o.engine.Present(in.Task); placed && run == in.Run && worker == s.entry.ID {
 		o.engine.Confirm(in.Task, in.Run, 0, "", o.moment())
 	}
-	if !s.holding && s.due() {
+	if s.holds == 0 && s.due() {
 		s.hold(holdWait)
 	}
 }
@@ -445,9 +451,7 @@
 		// so that it can't begin later.
 		s.proven = false
 		s.unclear[in.Task] = settlement{run: in.Run, at: at}
-		if !s.holding {
-			s.hold(0)
-		}
+		s.hold(0)
 	}
 }
 
@@ -505,9 +509,7 @@
 	}
 	if run, worker, placed := o.engine.Present(order.Task); placed && run == order.Run && worker == s.entry.ID {
 		o.settled[order.Task] = settlement{run: order.Run, at: at}
-		if !s.holding {
-			s.hold(0)
-		}
+		s.hold(0)
 	}
 }
 
--- a/internal/sched/end.go
+++ b/internal/sched/end.go
@@ -37,6 +37,8 @@
 	}
 	step := &j.Work.Steps[ref.Step]
 	at := t.Worker
+	began := t.Live
+	stopping := t.Stopping
 	e.vacate(ref, t, step)
 	e.changed[ref.Job] = true
 	if saved != "" {
@@ -56,12 +58,43 @@
 	if cause == Failed {
 		e.failed(j, b, t, step, run, now)
 	}
-	if step.Gang {
-		e.breakUp(ref, b, run)
+	if !step.Gang {
+		return true
+	}
+	// A member whose start did nothing is started elsewhere in the same run,
+	// as long as the others wait for it.
+	if (cause == Refused || cause == Lost && !began) && !stopping && b.run == run && e.waits(b, now) {
+		b.short, t.avoid = true, at
+		return true
 	}
+	e.breakUp(ref, b, run)
 	return true
 }
 
+// waits reports whether the members of a gang that have started still wait for
+// the others for long enough.
+func (e *Engine) waits(b *Batch, now Moment) bool {
+	wait := e.Limits.GangWait
+	if wait == 0 {
+		wait = defaultGangWait
+	}
+	return now.Steady-b.startedAt < wait-joinMargin
+}
+
+// mend breaks up the gangs whose missing members come too late.
+func (e *Engine) mend(now Moment) {
+	for _, j := range e.open {
+		for k := range j.Batches {
+			for s := range j.Batches[k] {
+				if b := &j.Batches[k][s]; b.short && !e.waits(b, now) {
+					b.short = false
+					e.breakUp(Ref{j.Work.ID, k, s, 0}, b, b.run)
+				}
+			}
+		}
+	}
+}
+
 // vacate takes a placed task off its worker.
 func (e *Engine) vacate(ref Ref, t *Task, step *model.Step) {
 	if w := e.workers[t.Worker]; w != nil {
@@ -124,6 +157,7 @@
 
 // breakUp stops what is left of a gang's run.
 func (e *Engine) breakUp(ref Ref, b *Batch, run int64) {
+	b.short = false
 	for i := range b.Tasks {
 		m := &b.Tasks[i]
 		if m.Phase == Placed && m.Run == run {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -37,6 +37,9 @@
 	// Factor is how many times as long a task takes away from its data or on
 	// several racks; it comes from the platform's bounds.
 	Factor float64
+	// GangWait is how long members of a gang wait for the others at their
+	// workers; it comes from the platform's bounds.
+	GangWait time.Duration
 	// NoRackWait says that tasks never wait for a better rack; a seam for tests.
 	NoRackWait bool
 }
@@ -69,6 +72,11 @@
 	// more to start: whatever it takes from others is worth nothing, and the
 	// users' rules ask for it once less than half of the pool is in use.
 	idleShare = 0.6
+	// defaultGangWait is GangWait on the smallest sites.
+	defaultGangWait = 3 * time.Second
+	// joinMargin is left of GangWait for a late member's start, its time-out
+	// included.
+	joinMargin = 1200 * time.Millisecond
 	// rejectPause is how long a worker that refused a start gets nothing: as
 	// long as the stop of a run may take, whose room it may still count.
 	rejectPause = 500 * time.Millisecond
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -110,7 +110,8 @@
 	return true
 }
 
-// waiting lists the tasks to place; a gang waits until none of its run is left.
+// waiting lists the tasks to place; a gang waits until none of its run is left,
+// unless it only lacks members whose start did nothing.
 func (b *Batch) waiting(gang bool) []int {
 	var out []int
 	for i := range b.Tasks {
@@ -118,7 +119,7 @@
 		case Waiting:
 			out = append(out, i)
 		case Placed:
-			if gang {
+			if gang && (!b.short || b.Tasks[i].Stopping || b.Tasks[i].Run != b.run) {
 				return nil
 			}
 		case Ended:
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -12,6 +12,7 @@
 func (e *Engine) Pass(now Moment) {
 	e.init()
 	e.watch(now)
+	e.mend(now)
 	e.startHeld(now)
 	e.index(now)
 	failed := map[shape]bool{}
@@ -82,6 +83,9 @@
 // place starts the group, or as many tasks of it as fit if they are no gang; it
 // reports whether all were placed.
 func (e *Engine) place(g *group, now Moment) bool {
+	if g.step.Gang && g.batch.short {
+		return e.join(g, now)
+	}
 	if g.step.Gang || g.step.OneRack {
 		if spots := e.together(g, now); spots != nil {
 			e.start(g, spots, now)
@@ -100,6 +104,38 @@
 	return e.makeRoom(g, now)
 }
 
+// join places the missing members of a gang, on the rack of the others if that
+// matters.
+func (e *Engine) join(g *group, now Moment) bool {
+	spots := []*worker(nil)
+	if g.step.OneRack {
+		at := g.rack(e)
+		for _, r := range e.racks {
+			if r.pool == g.queue.Pool && r.name == at {
+				spots = fill(g, e.candidates(g, r.workers, now), (*worker).free)
+			}
+		}
+	}
+	if spots == nil {
+		spots = e.anywhere(g, now)
+	}
+	if spots == nil {
+		return false
+	}
+	e.start(g, spots, now)
+	return true
+}
+
+// rack returns that of a placed member of the group's gang.
+func (g *group) rack(e *Engine) string {
+	for i := range g.batch.Tasks {
+		if w := e.workers[g.batch.Tasks[i].Worker]; w != nil && g.batch.Tasks[i].Phase == Placed {
+			return w.Rack
+		}
+	}
+	return ""
+}
+
 // singly places each waiting task for itself; it reports whether all were.
 func (e *Engine) singly(g *group, now Moment) bool {
 	all := g.waiting
@@ -236,6 +272,9 @@
 		if proven && (w.strikes > 0 || slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].blamed == w.ID })) {
 			continue
 		}
+		if g.batch.short && slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].avoid == w.ID }) {
+			continue
+		}
 		out = append(out, w)
 	}
 	return out
@@ -302,15 +341,23 @@
 // start books the waiting tasks on their workers and orders their runs; the
 // members of a gang share a run's number and a checkpoint.
 func (e *Engine) start(g *group, spots []*worker, now Moment) {
-	e.runs++
+	joins := g.step.Gang && g.batch.short
+	run := g.batch.run
+	if !joins {
+		e.runs++
+		run = e.runs
+		g.batch.run, g.batch.startedAt = run, now.Steady
+	}
+	g.batch.short = false
 	for at, i := range g.waiting {
 		if at > 0 && !g.step.Gang {
 			e.runs++
+			run = e.runs
 		}
 		t := &g.batch.Tasks[i]
 		ref := g.ref
 		ref.Task = i
-		t.Phase, t.Run, t.Worker = Placed, e.runs, spots[at].ID
+		t.Phase, t.Run, t.Worker = Placed, run, spots[at].ID
 		t.Live, t.Stopping, t.percent = false, false, 0
 		t.placedAt, t.movedAt = now.Steady, now.Steady
 		spots[at].tasks[ref] = t
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -70,6 +70,7 @@
 	placedAt time.Duration
 	movedAt  time.Duration // when percent last changed
 	blamed   string        // the worker of the last failure
+	avoid    string        // a worker that would refuse the gang's present run
 	held     string        // worker on which room is kept for the task
 }
 
@@ -82,6 +83,11 @@
 	Failures int
 
 	failedRun int64
+	// run is a gang's present run, begun at startedAt; short is set while it
+	// lacks members whose start did nothing.
+	run       int64
+	startedAt time.Duration
+	short     bool
 	ended     int
 	heldAt    time.Duration
 	readyAt   time.Duration
