--- a/internal/cmds/edge.go
+++ b/internal/cmds/edge.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -43,11 +45,18 @@
 	if err != nil {
 		return err
 	}
-	select {
-	case <-ctx.Done():
-		p.Stop()
-		return nil
-	case err := <-p.Failed():
-		return fmt.Errorf("server ended: %w", err)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			p.Stop()
+			return nil
+		case <-hangup:
+			p.Reload("SIGHUP")
+		case err := <-p.Failed():
+			return fmt.Errorf("server ended: %w", err)
+		}
 	}
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -13,6 +13,7 @@
 	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/lead"
+	"greengageline/internal/meter"
 	"greengageline/internal/peer"
 	"greengageline/internal/rows"
 	"greengageline/pkg/model"
@@ -47,6 +48,8 @@
 	// Follow returns the plan after a version, waiting up to wait for a change;
 	// with version 0 it reads the present one.
 	Follow func(ctx context.Context, after uint64, wait time.Duration) (Change, error)
+	// Meter counts calls; nil counts nothing.
+	Meter *meter.Work
 	// FreshFor is how long a plan that was the newest may be acted on.
 	FreshFor time.Duration
 	// Dial makes the client for a node's address; nil means peer.Client.
@@ -99,6 +102,31 @@
 	return nil
 }
 
+// statsTimeout bounds the figures of a scrape.
+const statsTimeout = 200 * time.Millisecond
+
+// Gauges returns the node's figures for a scrape.
+func (n *Node) Gauges() meter.WorkGauges {
+	g := meter.WorkGauges{Plan: n.Plan().Version}
+	if at := time.Duration(n.freshAt.Load()); at != 0 {
+		g.PlanAge = n.now() - at
+	}
+	if n.Lead.Count != nil {
+		g.StoreFails = n.Lead.Count.StoreFailed.Load()
+	}
+	p := n.Lead.Pulse(0)
+	g.Owner, g.Epoch = p.Owner, p.Epoch
+	if o := n.Lead.Own(); o != nil {
+		g.CommitAge = time.Duration(p.AgeMs) * time.Millisecond
+		ctx, cancel := context.WithTimeout(context.Background(), statsTimeout)
+		defer cancel()
+		if st, ok := o.Stats(ctx); ok {
+			g.OpenJobs, g.Unstarted, g.Placed, g.Quarantine, g.Silent = st.Open, st.Unstarted, st.Placed, st.Quarantined, st.Silent
+		}
+	}
+	return g
+}
+
 // Run performs the node's duties until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -77,6 +77,17 @@
 // tried here and through the owner at once: a node that the store refuses or
 // does not answer still serves its callers.
 func (n *Node) Serve(ctx context.Context, c Call) (Reply, error) {
+	began := n.now()
+	reply, err := n.serve(ctx, c)
+	outcome := "done"
+	if err != nil {
+		outcome = codeOf(err)
+	}
+	n.Meter.Call(string(c.Op), outcome, n.now()-began)
+	return reply, err
+}
+
+func (n *Node) serve(ctx context.Context, c Call) (Reply, error) {
 	g, err := n.admit(c.Host, c.Path, c.Key)
 	if err != nil && !errors.Is(err, ErrNotReady) {
 		return Reply{}, err
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -175,7 +175,9 @@
 	for id, s := range f.finals {
 		if o.shown[id] == "" {
 			o.shown[id] = s
-			o.lead.Count.ended(string(s))
+			if j := o.engine.Job(id); j != nil {
+				o.lead.Count.ended(s, o.sinceAccepted(j))
+			}
 			o.lead.Log.Emit(event.WorkEnded).Str("job", id).Str("state", string(s)).Int64("epoch", o.epoch).Send()
 		}
 	}
--- a/internal/lead/count.go
+++ b/internal/lead/count.go
@@ -3,32 +3,35 @@
 import (
 	"errors"
 	"sync/atomic"
+	"time"
 
+	"greengageline/internal/meter"
 	"greengageline/internal/orders"
+	"greengageline/internal/sched"
 )
 
-// Counters is told of what the owner does; nil functions and a nil pointer
-// count nothing.
+// Counters is told of what the owner does; a nil pointer counts nothing.
 type Counters struct {
-	// Ended is told of each job whose final state is durable.
-	Ended func(state string)
-	// End is told of each run that ended, by cause.
-	End func(cause string)
-	// Order is told of each order to a worker, by kind and outcome.
-	Order func(kind, outcome string)
+	Meter *meter.Work
 	// StoreFailed counts the store's calls that failed.
 	StoreFailed atomic.Int64
 }
 
-func (c *Counters) ended(state string) {
-	if c != nil && c.Ended != nil {
-		c.Ended(state)
+func (c *Counters) ended(state sched.State, took time.Duration) {
+	if c != nil {
+		c.Meter.Ended(string(state), took)
+	}
+}
+
+func (c *Counters) begun(took time.Duration) {
+	if c != nil {
+		c.Meter.Begun(took)
 	}
 }
 
-func (c *Counters) end(cause string) {
-	if c != nil && c.End != nil {
-		c.End(cause)
+func (c *Counters) end(cause sched.Cause) {
+	if c != nil {
+		c.Meter.End(string(cause))
 	}
 }
 
@@ -39,7 +42,7 @@
 }
 
 func (c *Counters) order(kind string, err error) {
-	if c == nil || c.Order == nil {
+	if c == nil {
 		return
 	}
 	outcome := "done"
@@ -52,5 +55,5 @@
 	default:
 		outcome = "unclear"
 	}
-	c.Order(kind, outcome)
+	c.Meter.Order(kind, outcome)
 }
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -115,6 +115,11 @@
 	return sched.Moment{Steady: o.lead.now(), UnixMs: o.lead.wallMs()}
 }
 
+// sinceAccepted is the time since a job was accepted, by the time of day.
+func (o *Owner) sinceAccepted(j *sched.Job) time.Duration {
+	return time.Duration(o.lead.wallMs()-j.Work.AcceptedMs) * time.Millisecond
+}
+
 func (o *Owner) spawn(f func()) {
 	o.done.Add(1)
 	go func() {
@@ -125,13 +130,11 @@
 
 func (o *Owner) wait() { o.done.Wait() }
 
-// post hands f to the loop and reports whether the owner still runs.
-func (o *Owner) post(f func()) bool {
+// post hands f to the loop; after the owner's end it is dropped.
+func (o *Owner) post(f func()) {
 	select {
 	case o.inbox <- f:
-		return true
 	case <-o.ctx.Done():
-		return false
 	}
 }
 
@@ -428,6 +431,12 @@
 	return out, ok
 }
 
+// Stats returns the engine's figures; ok is false if the owner can't tell.
+func (o *Owner) Stats(ctx context.Context) (st sched.Stats, ok bool) {
+	ok = o.ask(ctx, func() { st = o.engine.Stats(o.moment()) })
+	return st, ok
+}
+
 // Unstarted counts the queue's jobs of which nothing has started.
 func (o *Owner) Unstarted(ctx context.Context, queue string) (int, bool) {
 	n := 0
@@ -452,10 +461,7 @@
 		o.engine.Forget(id)
 		delete(o.work, id)
 		delete(o.shown, id)
-		for _, r := range []rows.Row{
-			{Table: WorkTable, Key: id}, {Table: WorkTable, Key: id + CancelSuffix}, {Table: RecordTable, Key: id},
-		} {
-			o.drops = append(o.drops, r)
-		}
+		o.drops = append(o.drops, rows.Row{Table: WorkTable, Key: id},
+			rows.Row{Table: WorkTable, Key: id + CancelSuffix}, rows.Row{Table: RecordTable, Key: id})
 	}
 }
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -122,7 +122,7 @@
 			continue // its start has not been sent yet, or its answer is awaited
 		}
 		n++
-		s.o.lead.Count.end(string(sched.Lost))
+		s.o.lead.Count.end(sched.Lost)
 		s.o.engine.End(ref, run, sched.Lost, "", s.o.moment())
 	}
 	if n == 0 {
@@ -282,7 +282,7 @@
 		return
 	}
 	counted := s.o.engine.End(e.Task, e.Run, e.Cause, e.Saved, now)
-	s.o.lead.Count.end(string(e.Cause))
+	s.o.lead.Count.end(e.Cause)
 	s.o.lead.Log.Emit(event.TaskEnded).Str("task", e.Task.String()).Int64("run", e.Run).Str("worker", s.entry.ID).
 		Str("cause", string(e.Cause)).Bool("present", counted).Int64("epoch", s.o.epoch).Send()
 }
@@ -295,7 +295,7 @@
 			continue
 		}
 		s.o.lead.Log.Emit(event.TaskVanished).Str("task", ref.String()).Int64("run", run).Str("worker", s.entry.ID).Send()
-		s.o.lead.Count.end(string(sched.Lost))
+		s.o.lead.Count.end(sched.Lost)
 		s.o.engine.End(ref, run, sched.Lost, "", now)
 		s.o.passDue = true
 	}
@@ -428,6 +428,9 @@
 	s.noteClock(clockMs, at)
 	o.settled[in.Task] = settlement{run: in.Run, at: at}
 	if run, worker, placed := o.engine.Present(in.Task); placed && run == in.Run && worker == s.entry.ID {
+		if j := o.engine.Job(in.Task.Job); j != nil && !j.Begun {
+			o.lead.Count.begun(o.sinceAccepted(j))
+		}
 		o.engine.Confirm(in.Task, in.Run, 0, "", o.moment())
 	}
 	if s.holds == 0 && s.due() {
--- /dev/null
+++ b/internal/meter/work.go
@@ -0,0 +1,182 @@
+package meter
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// WorkGauges is what a node on the platform reports at each scrape.
+type WorkGauges struct {
+	Owner      bool
+	Epoch      int64
+	Plan       uint64
+	PlanAge    time.Duration
+	CommitAge  time.Duration
+	OpenJobs   int
+	Unstarted  int
+	Placed     int
+	Quarantine int
+	Silent     int
+	StoreFails int64
+	Dropped    int64
+}
+
+// Work holds the instruments of a node on the platform; nil counts nothing.
+type Work struct {
+	handler http.Handler
+	calls   metric.Int64Counter
+	took    metric.Float64Histogram
+	ended   metric.Int64Counter
+	ends    metric.Int64Counter
+	orders  metric.Int64Counter
+	begun   metric.Float64Histogram
+	whole   metric.Float64Histogram
+}
+
+// WorkNames lists the metrics with their meaning, for docs/OPERATIONS.md.
+var WorkNames = [][2]string{
+	{"calls_total", "Calls of callers, by op and outcome."},
+	{"call_seconds", "Time of a call, by op."},
+	{"work_ended_total", "Jobs whose final state is durable, by state."},
+	{"work_start_seconds", "Time from acceptance to a job's first start."},
+	{"work_end_seconds", "Time from acceptance to a job's end."},
+	{"runs_ended_total", "Runs that ended, by cause."},
+	{"orders_total", "Orders to workers, by kind and outcome."},
+	{"owner", "1 if this node owns the work."},
+	{"owner_epoch", "Epoch of the ownership, 0 elsewhere."},
+	{"owner_commit_age_seconds", "Time since the owner's last commit was sent."},
+	{"plan_version", "Version of the plan in force."},
+	{"plan_age_seconds", "Time since the plan was shown to be the newest."},
+	{"jobs_open", "Jobs that have not ended, at the owner."},
+	{"jobs_unstarted", "Open jobs of which nothing has started."},
+	{"runs_placed", "Runs that are placed on workers."},
+	{"workers_quarantined", "Workers that get nothing because runs fail there."},
+	{"workers_silent", "Workers that do not answer."},
+	{"store_failures_total", "Calls of the owner to the store that failed."},
+	{"log_lines_dropped_total", "Log lines dropped because the output stood still."},
+}
+
+func describe(name string) string {
+	for _, n := range WorkNames {
+		if n[0] == name {
+			return n[1]
+		}
+	}
+	return ""
+}
+
+// NewWork returns the instruments; gauges is read at each scrape.
+func NewWork(gauges func() WorkGauges) (*Work, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, fmt.Errorf("make metrics exporter: %w", err)
+	}
+	m := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("greengageline")
+	w := &Work{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	for name, c := range map[string]*metric.Int64Counter{
+		"calls_total": &w.calls, "work_ended_total": &w.ended, "runs_ended_total": &w.ends, "orders_total": &w.orders,
+	} {
+		if *c, err = m.Int64Counter(name, metric.WithDescription(describe(name))); err != nil {
+			return nil, fmt.Errorf("declare metric %q: %w", name, err)
+		}
+	}
+	for name, h := range map[string]*metric.Float64Histogram{
+		"call_seconds": &w.took, "work_start_seconds": &w.begun, "work_end_seconds": &w.whole,
+	} {
+		if *h, err = m.Float64Histogram(name, metric.WithDescription(describe(name)),
+			metric.WithExplicitBucketBoundaries(0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 120, 600)); err != nil {
+			return nil, fmt.Errorf("declare metric %q: %w", name, err)
+		}
+	}
+	return w, declareWork(m, gauges)
+}
+
+func declareWork(m metric.Meter, gauges func() WorkGauges) error {
+	flag := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	for name, pick := range map[string]func(WorkGauges) float64{
+		"owner":                    func(g WorkGauges) float64 { return flag(g.Owner) },
+		"owner_epoch":              func(g WorkGauges) float64 { return float64(g.Epoch) },
+		"owner_commit_age_seconds": func(g WorkGauges) float64 { return g.CommitAge.Seconds() },
+		"plan_version":             func(g WorkGauges) float64 { return float64(g.Plan) },
+		"plan_age_seconds":         func(g WorkGauges) float64 { return g.PlanAge.Seconds() },
+		"jobs_open":                func(g WorkGauges) float64 { return float64(g.OpenJobs) },
+		"jobs_unstarted":           func(g WorkGauges) float64 { return float64(g.Unstarted) },
+		"runs_placed":              func(g WorkGauges) float64 { return float64(g.Placed) },
+		"workers_quarantined":      func(g WorkGauges) float64 { return float64(g.Quarantine) },
+		"workers_silent":           func(g WorkGauges) float64 { return float64(g.Silent) },
+		"store_failures_total":     func(g WorkGauges) float64 { return float64(g.StoreFails) },
+		"log_lines_dropped_total":  func(g WorkGauges) float64 { return float64(g.Dropped) },
+	} {
+		_, err := m.Float64ObservableGauge(name, metric.WithDescription(describe(name)),
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				o.Observe(pick(gauges()))
+				return nil
+			}))
+		if err != nil {
+			return fmt.Errorf("declare metric %q: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// Handler serves the metrics in Prometheus' text format.
+func (w *Work) Handler() http.Handler {
+	if w == nil || w.handler == nil {
+		return http.NotFoundHandler()
+	}
+	return w.handler
+}
+
+// Call counts a caller's call and its time.
+func (w *Work) Call(op, outcome string, took time.Duration) {
+	if w == nil {
+		return
+	}
+	w.calls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("op", op), attribute.String("outcome", outcome)))
+	w.took.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("op", op)))
+}
+
+// Ended counts a job's end and the time since its acceptance.
+func (w *Work) Ended(state string, took time.Duration) {
+	if w == nil {
+		return
+	}
+	w.ended.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", state)))
+	w.whole.Record(context.Background(), took.Seconds())
+}
+
+// Begun records the time from a job's acceptance to its first start.
+func (w *Work) Begun(took time.Duration) {
+	if w != nil {
+		w.begun.Record(context.Background(), took.Seconds())
+	}
+}
+
+// End counts the end of a run.
+func (w *Work) End(cause string) {
+	if w != nil {
+		w.ends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
+	}
+}
+
+// Order counts an order to a worker.
+func (w *Work) Order(kind, outcome string) {
+	if w != nil {
+		w.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", outcome)))
+	}
+}
--- /dev/null
+++ b/internal/meter/work_test.go
@@ -0,0 +1,34 @@
+package meter
+
+import (
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestWorkMetricsAreServedAndListed(t *testing.T) {
+	is := is.New(t)
+	w, err := NewWork(func() WorkGauges { return WorkGauges{Owner: true, Epoch: 3} })
+	is.NoErr(err)
+	w.Call("submit", "done", time.Millisecond)
+	w.Ended("completed", time.Second)
+	w.Begun(time.Second)
+	w.End("done")
+	w.Order("start", "done")
+	rec := httptest.NewRecorder()
+	w.Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	for _, n := range WorkNames {
+		if !strings.Contains(rec.Body.String(), n[0]) {
+			t.Errorf("metric %s is not served", n[0])
+		}
+		if !strings.Contains(string(page), "`"+n[0]+"` | "+n[1]) {
+			t.Errorf("docs/OPERATIONS.md lacks `%s` | %s", n[0], n[1])
+		}
+	}
+}
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -263,6 +263,31 @@
 	return n
 }
 
+// Stats are figures of the present state.
+type Stats struct {
+	Open, Unstarted, Placed, Quarantined, Silent int
+}
+
+// Stats counts jobs, runs and workers.
+func (e *Engine) Stats(now Moment) Stats {
+	st := Stats{Open: len(e.open)}
+	for _, j := range e.open {
+		if !j.Begun {
+			st.Unstarted++
+		}
+	}
+	for _, w := range e.order {
+		st.Placed += len(w.tasks)
+		if now.Steady < w.badUntil {
+			st.Quarantined++
+		}
+		if w.Silent {
+			st.Silent++
+		}
+	}
+	return st
+}
+
 // Cancel ends a job at its caller's wish; what runs is stopped.
 func (e *Engine) Cancel(id string, now Moment) {
 	j := e.jobs[id]
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -141,7 +141,7 @@
 			if j.Open() && !e.yields(j, step, g, owed) {
 				continue
 			}
-			v.cost = e.loss(ref, t, step, now)
+			v.cost = loss(t, step, now)
 		}
 		p.victims = append(p.victims, v)
 	}
@@ -171,7 +171,7 @@
 }
 
 // loss estimates the work, in core-seconds, that stopping a run throws away.
-func (e *Engine) loss(ref Ref, t *Task, step *model.Step, now Moment) float64 {
+func loss(t *Task, step *model.Step, now Moment) float64 {
 	ran := (now.Steady - t.placedAt).Seconds()
 	n := 1
 	if step.Gang {
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -59,7 +59,6 @@
 	need              model.Room
 	tasks, perWorker  int
 	oneRack, owed     bool
-	scatter           bool
 	retry             bool
 	priority          int
 }
--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -120,7 +120,6 @@
 	lost         float64 // core-seconds thrown away
 	passes       int
 	passTime     time.Duration
-	reclaims     []time.Duration
 	firstWait    map[string]time.Duration
 }
 
