Take the locks of the test world in one order

Cause: two locks of the workers in memory were taken in both orders, so that one run in eight of internal/lead stood still. Ruled out: the owner, whose goroutines all waited as usual in the trace.

--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -190,7 +190,9 @@
 	leaving  bool
 	stubborn bool // a hold does not end with its context, as a call may not
 
-	mu       sync.Mutex
+	// mu guards all workers of the world, since a start looks at another one's
+	// runs; it is taken before the world's own mutex.
+	mu       *sync.Mutex
 	epoch    int64
 	lease    time.Duration
 	runs     map[sched.Ref]*memRun
@@ -205,6 +207,7 @@
 type world struct {
 	base    time.Time
 	store   *memStore
+	atWork  sync.Mutex // see memWorker.mu
 	mu      sync.Mutex
 	workers map[string]*memWorker
 	starts  []string
@@ -233,7 +236,7 @@
 		id := fmt.Sprintf("w%d", i)
 		w.workers[id] = &memWorker{
 			id: id, w: w, room: model.Room{Millicores: 64000, MemoryMB: 256000, Accelerators: 8}, born: 1,
-			takes: time.Second, runs: map[sched.Ref]*memRun{}, floor: map[sched.Ref]int64{},
+			mu: &w.atWork, takes: time.Second, runs: map[sched.Ref]*memRun{}, floor: map[sched.Ref]int64{},
 		}
 	}
 	return w
@@ -292,18 +295,16 @@
 }
 
 func (w *world) entries() []orders.Entry {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.atWork.Lock()
+	defer w.atWork.Unlock()
 	var out []orders.Entry
 	for id, m := range w.workers {
-		m.mu.Lock()
 		if !m.gone && !m.unlisted {
 			out = append(out, orders.Entry{
 				Worker: sched.Worker{ID: id, Pool: "p", Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving},
 				Addr:   id, Born: m.born,
 			})
 		}
-		m.mu.Unlock()
 	}
 	slices.SortFunc(out, func(a, b orders.Entry) int { return strings.Compare(a.ID, b.ID) })
 	return out
@@ -488,7 +489,7 @@
 	return w.work[ref.Job].Steps[ref.Step]
 }
 
-// began checks that a start breaks no promise.
+// began checks that a start breaks no promise; the caller holds atWork.
 func (w *world) began(ref sched.Ref, worker string) {
 	w.mu.Lock()
 	at, twice := w.live[ref]
@@ -503,10 +504,7 @@
 	if !twice || other == nil || at == worker || other.gone {
 		return
 	}
-	other.mu.Lock()
-	alive := w.now() <= other.lease && other.runs[ref] != nil
-	other.mu.Unlock()
-	if alive {
+	if w.now() <= other.lease && other.runs[ref] != nil {
 		w.fault("%s runs on %s and %s", ref, at, worker)
 	}
 }
