--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,311 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"greengageline/internal/lead"
+	"greengageline/internal/orders"
+	"greengageline/internal/peer"
+	"greengageline/internal/rows"
+	"greengageline/pkg/model"
+)
+
+// shop is a store that two nodes share; each may be refused or left waiting.
+type shop struct {
+	mu      sync.Mutex
+	rows    map[string]rows.Row
+	version uint64
+	// block says what happens to a node's calls: nil passes them, a nil error
+	// from it leaves them without an answer.
+	block map[string]func() error
+}
+
+func (s *shop) view(who string) *rows.Store {
+	pass := func(ctx context.Context) error {
+		s.mu.Lock()
+		block := s.block[who]
+		s.mu.Unlock()
+		if block == nil {
+			return nil
+		}
+		if err := block(); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return rows.ErrUnclear
+	}
+	return &rows.Store{
+		Commit: func(ctx context.Context, t rows.Txn) (uint64, []rows.Row, error) {
+			if err := pass(ctx); err != nil {
+				return 0, nil, err
+			}
+			return s.commit(t)
+		},
+		Range: func(ctx context.Context, table, from, to string) (rows.Page, error) {
+			if err := pass(ctx); err != nil {
+				return rows.Page{}, err
+			}
+			return s.get(table, from, to), nil
+		},
+		Feed: func(ctx context.Context, table string, after uint64, wait time.Duration) (rows.Page, error) {
+			if err := pass(ctx); err != nil {
+				return rows.Page{}, err
+			}
+			// It looks ten times, which is quick enough for the tests.
+			for range 10 {
+				if page := s.since(table, after); len(page.Rows) > 0 {
+					return page, nil
+				}
+				sleep(ctx, wait/10)
+			}
+			return s.since(table, after), ctx.Err()
+		},
+	}
+}
+
+func (s *shop) commit(t rows.Txn) (uint64, []rows.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.If {
+		if r := s.rows[c.Table+" "+c.Key]; r.Version != c.Version {
+			r.Table, r.Key = c.Table, c.Key
+			return 0, []rows.Row{r}, rows.ErrConflict
+		}
+	}
+	s.version++
+	for _, p := range t.Put {
+		p.Version = s.version
+		s.rows[p.Table+" "+p.Key] = p
+	}
+	return s.version, nil, nil
+}
+
+func (s *shop) get(table, from, to string) rows.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := rows.Page{Version: s.version}
+	for _, r := range s.rows {
+		if r.Table == table && r.Key >= from && (to == "" || r.Key < to) {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	return page
+}
+
+func (s *shop) since(table string, after uint64) rows.Page {
+	page := s.get(table, "", "")
+	page.Rows = slices.DeleteFunc(page.Rows, func(r rows.Row) bool { return r.Version <= after })
+	return page
+}
+
+// cut has the store treat the node that is not the owner as block says.
+func (s *shop) cut(block func() error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.block["edge"] = block
+}
+
+var basePlan = model.Plan{
+	Version: 5,
+	Queues:  []model.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMs: 3000}},
+	Spaces:  []model.PlanSpace{{Name: "ws", Keys: []string{"k"}}},
+}
+
+// pair is an owner's node and another one; plans are what each reads.
+type pair struct {
+	shop        *shop
+	owner, edge *Node
+	plans       map[string]*model.Plan
+	reach       bool
+}
+
+func begin(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{
+		shop:  &shop{rows: map[string]rows.Row{}, block: map[string]func() error{}},
+		plans: map[string]*model.Plan{"owner": &basePlan, "edge": &basePlan}, reach: true,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	base := time.Now()
+	now := func() time.Duration { return time.Since(base) + time.Hour }
+	nodes := map[string]*Node{}
+	for _, name := range []string{"owner", "edge"} {
+		n := &Node{Name: name, Rows: p.shop.view(name), FreshFor: 3500 * time.Millisecond, Now: now}
+		n.Follow = func(ctx context.Context, _ uint64, wait time.Duration) (Change, error) {
+			if _, err := n.Rows.Feed(ctx, "", 0, wait); err != nil {
+				return Change{}, err
+			}
+			return Change{Plan: p.plans[name], Version: 1}, nil
+		}
+		n.Dial = func(addr string) *peer.Client {
+			return &peer.Client{Addr: addr, Invoke: func(ctx context.Context, addr, method string, in, out any) error {
+				return p.invoke(ctx, nodes[addr], method, in, out)
+			}}
+		}
+		n.Lead = &lead.Lead{
+			Node: name, Addr: name, Rows: n.Rows, Now: now, Plan: func() model.Plan { return n.Plan() }, Ask: n.Ask, Cores: 1,
+			Fleet: &orders.Fleet{List: func(context.Context) ([]orders.Entry, error) { return nil, nil }},
+		}
+		nodes[name] = n
+	}
+	p.owner, p.edge = nodes["owner"], nodes["edge"]
+	var wg sync.WaitGroup
+	run := func(n *Node) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			n.Run(ctx)
+		}()
+	}
+	run(p.owner)
+	time.Sleep(2 * time.Second)
+	run(p.edge)
+	time.Sleep(2 * time.Second)
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		time.Sleep(10 * time.Second)
+	})
+	return p
+}
+
+// invoke hands a call to a node, encoded as on the wire.
+func (p *pair) invoke(ctx context.Context, n *Node, method string, in, out any) error {
+	if !p.reach {
+		return fmt.Errorf("%w: cut", peer.ErrUnreached)
+	}
+	var reply any
+	switch method {
+	case "Pulse":
+		pulse := n.Lead.Pulse(in.(*pulseIn).Cores)
+		reply = &pulse
+	case "Serve":
+		var c Call
+		data, err := cbor.Marshal(in)
+		if err != nil {
+			return err
+		}
+		if err := cbor.Unmarshal(data, &c); err != nil {
+			return err
+		}
+		if reply, err = n.serveRelayed(ctx, &c); err != nil {
+			return err
+		}
+	}
+	data, err := cbor.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, out)
+}
+
+func call(op Op, id string) Call {
+	return Call{Op: op, Host: "h", Path: "/q/" + id, Key: "k", Work: model.Work{Steps: []model.Step{{Tasks: 1}}}}
+}
+
+func unanswered() error { return nil }
+
+func refused() error { return rows.ErrRefused }
+
+func TestCallersOfACutNodeAreServedThroughTheOwner(t *testing.T) {
+	for name, block := range map[string]func() error{"without an answer": unanswered, "refused": refused} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := begin(t)
+				p.shop.cut(block)
+				for _, after := range []time.Duration{0, 10 * time.Second} { // the plan is recent, then stale
+					time.Sleep(after)
+					id := fmt.Sprintf("job%d", after)
+					from := time.Now()
+					_, err := p.edge.Serve(context.Background(), call(Submit, id))
+					is.NoErr(err)
+					is.True(time.Since(from) < 500*time.Millisecond)
+					reply, err := p.edge.Serve(context.Background(), call(Look, id))
+					is.NoErr(err)
+					is.True(reply.Look.Known)
+					reply, err = p.edge.Serve(context.Background(), call(Cancel, id))
+					is.NoErr(err)
+					is.True(reply.Found)
+				}
+			})
+		})
+	}
+}
+
+func TestNodeWithoutStoreAndOwnerRefusesAtOnceOrTellsThatItDoesNotKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := begin(t)
+		p.reach = false
+		p.shop.cut(refused)
+		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
+		is.True(errors.Is(err, ErrBusy)) // a promise: no try may still take effect
+		p.shop.cut(unanswered)
+		_, err = p.edge.Serve(context.Background(), call(Submit, "b"))
+		is.True(errors.Is(err, ErrUnclear))
+		time.Sleep(5 * time.Second)
+		from := time.Now()
+		_, err = p.edge.Serve(context.Background(), call(Submit, "c"))
+		is.True(errors.Is(err, ErrNotReady))
+		is.Equal(time.Since(from), time.Duration(0)) // it is refused at once
+		is.True(p.edge.Ready() != nil)
+	})
+}
+
+func TestStaleNodeHonoursNoKeyThatWasTakenAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := begin(t)
+		p.shop.cut(unanswered)
+		revoked := basePlan
+		revoked.Version, revoked.Spaces = 9, nil
+		p.plans["owner"] = &revoked
+		time.Sleep(5 * time.Second)
+		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
+		is.True(errors.Is(err, ErrKey)) // by the owner's plan
+	})
+}
+
+func TestNodeNeverGoesBackToAnOlderPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := begin(t)
+		older := basePlan
+		older.Version, older.Queues = 4, nil
+		p.plans["edge"] = &older
+		time.Sleep(5 * time.Second)
+		is.Equal(p.edge.Plan().Version, uint64(5))
+		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
+		is.NoErr(err)
+	})
+}
+
+func TestUnknownJobIsKnownAsSuch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := begin(t)
+		reply, err := p.edge.Serve(context.Background(), call(Look, "none"))
+		is.NoErr(err)
+		is.True(!reply.Look.Known)
+		reply, err = p.edge.Serve(context.Background(), call(Cancel, "none"))
+		is.NoErr(err)
+		is.True(!reply.Found)
+		_, err = p.edge.Serve(context.Background(), call(Submit, "a"))
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		reply, err = p.edge.Serve(context.Background(), call(Count, ""))
+		is.NoErr(err)
+		is.Equal(reply.Count, 1)
+	})
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -215,9 +215,15 @@
 	return Pulse{Owner: true, Epoch: o.epoch, AgeMs: o.age().Milliseconds(), Version: o.committed.Load(), Addr: l.Addr}
 }
 
-// Run watches the ownership and takes it when it is free, until ctx ends.
+// Run watches the ownership and takes it when it is free, until ctx ends; an
+// owner ends with it.
 func (l *Lead) Run(ctx context.Context) {
 	l.nonce = rand.Uint64()
+	defer func() {
+		if o := l.last(); o != nil {
+			o.cancel()
+		}
+	}()
 	for ctx.Err() == nil {
 		l.turn(ctx)
 		sleep(ctx, watchEvery-watchEvery/4+rand.N(watchEvery/2))
