Decide nothing while the store holds a transaction up

Ruled out: leases that lapse (none did). Change: no pass while a transaction has been on its way for 300 ms. Test: TestNothingIsEvictedWhileTheStoreIsAway, red before.

--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -41,7 +41,7 @@
 		return
 	}
 	f := o.flight()
-	o.flying = true
+	o.flying, o.flownAt = true, o.lead.now()
 	o.spawn(func() { o.fly(f) })
 }
 
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -432,6 +432,43 @@
 	})
 }
 
+// While the store is away nothing is stopped for work that could not start.
+func TestNothingIsEvictedWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, _, stop := begin(2, 1)
+		defer stop()
+		for _, m := range w.workers {
+			m.takes = 20 * time.Second
+		}
+		w.submit("bulk", "bulk", oneGPU(16))
+		time.Sleep(time.Second)
+		from := w.now()
+		w.store.refuse = func(_, op string) error {
+			if op == "commit" && w.now()-from < 2200*time.Millisecond {
+				return rows.ErrRefused
+			}
+			return nil
+		}
+		time.Sleep(900 * time.Millisecond) // a renewal has been on its way for a while
+		w.submit("urgent", "urgent", gang(2))
+		time.Sleep(time.Second)
+		running := 0
+		for _, m := range w.workers {
+			m.mu.Lock()
+			for ref, r := range m.runs {
+				if ref.Job == "bulk" && !r.stopped {
+					running++
+				}
+			}
+			m.mu.Unlock()
+		}
+		is.Equal(running, 16) // nothing has been stopped
+		time.Sleep(4 * time.Second)
+		is.Equal(w.state("urgent"), sched.Running)
+	})
+}
+
 // The larger node takes the work over from a small one.
 func TestLargerNodeOwnsTheWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -33,6 +33,9 @@
 	// passRest times as long as a pass took lies before the next one, so that
 	// passes leave most of the processor to orders and answers.
 	passRest = 3
+	// stuckAfter is how long a transaction is on its way before nothing more is
+	// decided: some 20 times the usual time of one.
+	stuckAfter = 300 * time.Millisecond
 	// runsPerEpoch leaves room for the runs of one owner, so that the next
 	// owner's runs have higher numbers.
 	runsPerEpoch = 1_000_000
@@ -71,6 +74,7 @@
 	drops    []rows.Row
 	version  uint64 // of the right row
 	flying   bool
+	flownAt  time.Duration // when the transaction on its way was first sent
 	purgeAt  time.Duration
 	plan     uint64
 	listOK   bool
@@ -216,7 +220,7 @@
 
 // turn decides, hands out stops, and sends the next transaction.
 func (o *Owner) turn() {
-	if began := o.lead.now(); o.passDue && began >= o.passAt && !o.quiet && o.plan != 0 && o.mayStart() {
+	if began := o.lead.now(); o.passDue && began >= o.passAt && !o.quiet && o.plan != 0 && o.mayStart() && !o.stuck(began) {
 		o.passDue = false
 		o.engine.Pass(o.moment())
 		now := o.lead.now()
@@ -238,6 +242,10 @@
 	o.commit()
 }
 
+// stuck reports whether the store holds a transaction up: what is decided now
+// could not be started for a while, and runs would be stopped for nothing.
+func (o *Owner) stuck(now time.Duration) bool { return o.flying && now-o.flownAt > stuckAfter }
+
 // rebuild reads all work and records; it reports the version from which the
 // feed of work goes on.
 func (o *Owner) rebuild(mayLive bool) (uint64, bool) {
