Keep room that workspaces are owed free of other work, and pack by all resources

Cause: urgent work of the visits waited 0.75 s (median) for runs to be stopped, nearly all of the 0.9 s that a stop may take, and bundles were placed 36 times a job only to be stopped again; memory, not accelerators, fills these workers first. Change: work without a guarantee starts only while the unused guarantees, up to 45 percent, stay free; not if nothing urgent came for 5 s, nor once a job has waited 0.6 of its goal; the fullest worker by all resources is taken first. Test: TestHeadroomForOwedWork.

--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -25,6 +25,11 @@
 	changed map[string]bool
 	held    map[*Batch]Ref
 	owedNow map[*Job]bool // as of the present pass
+	// urgentUse is the accelerators that each workspace's owed jobs need, as of
+	// the present pass.
+	urgentUse map[string]int
+	// urgentAt is when a pass last saw open urgent work.
+	urgentAt time.Duration
 	// watchedAt is when runs were last looked through for progress.
 	watchedAt time.Duration
 }
@@ -77,6 +82,15 @@
 	// joinMargin is left of GangWait for a late member's start, its time-out
 	// included.
 	joinMargin = 1200 * time.Millisecond
+	// maxHeadroom leaves work without a guarantee more than half of a pool, as
+	// the users' rules ask for all work to run while less than that is in use.
+	maxHeadroom = 0.45
+	// patience is the part of its response-time goal that work waits at most
+	// for room kept free; on the users' sites its run takes another third.
+	patience = 0.6
+	// urgentQuiet is how long after the last urgent work room is kept for more:
+	// twice the time of a usual urgent job on the users' sites.
+	urgentQuiet = 5 * time.Second
 	// rejectPause is how long a worker that refused a start gets nothing: as
 	// long as the stop of a run may take, whose room it may still count.
 	rejectPause = 500 * time.Millisecond
--- a/internal/sched/gang_test.go
+++ b/internal/sched/gang_test.go
@@ -162,3 +162,24 @@
 	started := starts(e.TakeOrders())
 	is.Equal(started[0].Task.Job, "urgent")
 }
+
+// Room that workspaces are owed is kept free of work without a guarantee while
+// urgent work comes, and given out once none has come for a while.
+func TestHeadroomForOwedWork(t *testing.T) {
+	is := is.New(t)
+	e := pool(8) // 64 accelerators, of which two workspaces are owed half
+	add(e, "first", "urgent", members(1, 1))
+	add(e, "wide", "bulk", model.Step{Tasks: 40, EstimateMs: 60000, Each: model.Room{Accelerators: 1}})
+	e.Pass(at(0))
+	is.Equal(len(starts(e.TakeOrders())), 41)
+	add(e, "later", "bulk", model.Step{Tasks: 4, EstimateMs: 60000, Each: model.Room{Accelerators: 1}})
+	e.Pass(at(time.Second))
+	is.Equal(len(starts(e.TakeOrders())), 0) // there is room, but it is owed to others
+	add(e, "second", "urgent", members(2, 8))
+	e.Pass(at(2 * time.Second))
+	is.Equal(len(e.TakeOrders()), 2) // starts at once, and nothing is stopped
+	e.End(Ref{Job: "second"}, 42, Done, "", at(3*time.Second))
+	e.End(Ref{Job: "first"}, 1, Done, "", at(2*time.Second))
+	e.Pass(at(20 * time.Second))
+	is.Equal(len(starts(e.TakeOrders())), 4) // nothing urgent has come for a while
+}
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -19,6 +19,8 @@
 	// owed groups are urgent work within their workspace's guarantee.
 	owed bool
 	band band
+	// waited is the part of the job's response-time goal that has passed.
+	waited float64
 }
 
 // band says what a job can still be worth to its caller.
@@ -61,7 +63,7 @@
 
 // groups lists what may start now, in the order in which room is given.
 func (e *Engine) groups(now Moment) []*group {
-	owed := e.owed()
+	owed := e.owed(now)
 	e.owedNow = owed
 	var out []*group
 	for _, j := range e.open {
@@ -91,10 +93,12 @@
 		if len(waiting) == 0 {
 			continue
 		}
-		out = append(out, &group{
+		g := &group{
 			job: j, ref: Ref{Job: j.Work.ID, Time: k, Step: s}, batch: b, step: step, queue: q,
-			waiting: waiting, owed: owed, band: j.band(k, q, now),
-		})
+			waiting: waiting, owed: owed,
+		}
+		g.band, g.waited = j.band(k, q, now)
+		out = append(out, g)
 	}
 	return out
 }
@@ -128,20 +132,23 @@
 	return out
 }
 
-func (j *Job) band(k int, q model.Queue, now Moment) band {
+// band tells what the job can still be worth, and the part of its goal that has
+// passed.
+func (j *Job) band(k int, q model.Queue, now Moment) (band, float64) {
 	chain := float64(j.Work.ChainMs())
 	goal := q.Stretch*chain + float64(q.AimMs)
 	if goal <= 0 {
-		return inTime
+		return inTime, 1
 	}
-	end := float64(now.UnixMs-j.Work.DueMs(k)) + float64(j.remainingMs(k))
+	passed := float64(now.UnixMs - j.Work.DueMs(k))
+	end := passed + float64(j.remainingMs(k))
 	switch {
 	case end <= goal:
-		return inTime
+		return inTime, passed / goal
 	case end <= lateFactor*goal:
-		return late
+		return late, passed / goal
 	}
-	return tooLate
+	return tooLate, passed / goal
 }
 
 // remainingMs estimates the longest chain of steps that have not ended.
@@ -163,19 +170,21 @@
 
 // owed lists the urgent jobs that lie within their workspaces' guarantees, in
 // order of acceptance.
-func (e *Engine) owed() map[*Job]bool {
+func (e *Engine) owed(now Moment) map[*Job]bool {
 	used := map[string]int{}
 	out := map[*Job]bool{}
 	for _, j := range e.open {
 		if e.queue(j).Priority != 0 || j.lasts() {
 			continue
 		}
+		e.urgentAt = now.Steady
 		need := j.accelerators()
 		if used[j.Work.Workspace]+need <= e.spaces[j.Work.Workspace] {
 			used[j.Work.Workspace] += need
 			out[j] = true
 		}
 	}
+	e.urgentUse = used
 	return out
 }
 
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -15,6 +15,8 @@
 	// free sums what is free on the workers that may get work; it is right
 	// from the start of a pass on and kept right by start.
 	free model.Room
+	// room sums what the workers have in all.
+	room model.Room
 }
 
 // index rebuilds the racks if workers have changed and sums what is free.
@@ -23,8 +25,9 @@
 		e.rebuildRacks()
 	}
 	for _, r := range e.racks {
-		r.free = model.Room{}
+		r.free, r.room = model.Room{}, model.Room{}
 		for _, w := range r.workers {
+			r.room = r.room.Plus(w.Room, 1)
 			if w.open(now) {
 				r.free = r.free.Plus(w.spare(), 1)
 			}
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -23,6 +23,9 @@
 		if g.band == tooLate && !g.owed && e.usedShare(g.queue.Pool) > idleShare {
 			continue
 		}
+		if e.keptFree(g, now) {
+			continue
+		}
 		key := g.shape()
 		if failed[key] {
 			continue
@@ -33,8 +36,8 @@
 	}
 }
 
-// usedShare is the share of a pool's accelerators, or of its cores if that is
-// more, that runs take.
+// usedShare is the share of a pool that runs take, of the resource of which
+// they take most.
 func (e *Engine) usedShare(pool string) float64 {
 	var used, all model.Room
 	for _, w := range e.order {
@@ -42,14 +45,52 @@
 			used, all = used.Plus(w.used, 1), all.Plus(w.Room, 1)
 		}
 	}
-	share := 0.0
-	if all.Accelerators > 0 {
-		share = float64(used.Accelerators) / float64(all.Accelerators)
+	return max(part(used.Accelerators, all.Accelerators), part(used.Millicores, all.Millicores), part(used.MemoryMB, all.MemoryMB))
+}
+
+// headroom is the share of a pool that work without a guarantee leaves free:
+// what workspaces are owed and don't use now, up to maxHeadroom. Urgent work
+// comes at any moment and has little time; making room for it takes nearly as
+// long as it may wait, and throws away what ran there.
+func (e *Engine) headroom(pool string, now Moment) float64 {
+	if now.Steady-e.urgentAt > urgentQuiet {
+		return 0
+	}
+	all := 0
+	for _, w := range e.order {
+		if w.Pool == pool {
+			all += w.Room.Accelerators
+		}
+	}
+	if all == 0 {
+		return 0
 	}
-	if all.Millicores > 0 {
-		share = max(share, float64(used.Millicores)/float64(all.Millicores))
+	owed := 0
+	for space, guaranteed := range e.spaces {
+		owed += max(0, guaranteed-e.urgentUse[space])
 	}
-	return share
+	return min(maxHeadroom, part(owed, all))
+}
+
+// keptFree reports whether the room that is left is kept for owed work. What
+// starts may start whole, as half a bundle helps nobody. Lasting work is exempt:
+// it must run however full the pool is; and so is what has waited long for its
+// goal, or a queue of low priority would get nothing on a full day.
+func (e *Engine) keptFree(g *group, now Moment) bool {
+	return g.queue.Priority > 0 && !g.step.Lasts && g.waited < patience && e.usedShare(g.queue.Pool) > 1-e.headroom(g.queue.Pool, now)
+}
+
+func part(n, of int) float64 {
+	if of <= 0 {
+		return 0
+	}
+	return float64(n) / float64(of)
+}
+
+// share sums the parts of each resource that are left; what is fullest counts
+// least. Any one resource alone would leave the others in pieces.
+func share(left, of model.Room) float64 {
+	return part(left.Accelerators, of.Accelerators) + part(left.Millicores, of.Millicores) + part(left.MemoryMB, of.MemoryMB)
 }
 
 // shape is what decides whether a group can be placed: after one has failed,
@@ -205,10 +246,11 @@
 // data goes first.
 func (e *Engine) bestRack(g *group, now Moment) []*worker {
 	var best []*worker
-	least := 0
+	least := 0.0
 	for _, r := range e.racksOf(g, true) {
 		data := r.name == g.step.DataRack
-		if best != nil && !data && r.free.Accelerators >= least {
+		left := share(r.free, r.room)
+		if best != nil && !data && left >= least {
 			continue
 		}
 		spots := fill(g, e.candidates(g, r.workers, now), (*worker).free)
@@ -218,7 +260,7 @@
 		if data {
 			return spots
 		}
-		best, least = spots, r.free.Accelerators
+		best, least = spots, left
 	}
 	return best
 }
@@ -285,7 +327,7 @@
 	type spot struct {
 		w     *worker
 		n     int
-		left  model.Room
+		left  float64
 		rough bool
 	}
 	need := g.step.Need()
@@ -295,7 +337,7 @@
 		r := room(w)
 		n := r.Times(need, g.quota(w))
 		if n > 0 {
-			spots = append(spots, spot{w, n, r, w.strikes > 0})
+			spots = append(spots, spot{w, n, share(r, w.Room), w.strikes > 0})
 			total += n
 		}
 	}
@@ -309,7 +351,7 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(a.left.Accelerators, b.left.Accelerators), cmp.Compare(a.left.Millicores, b.left.Millicores))
+		return cmp.Compare(a.left, b.left)
 	})
 	out := make([]*worker, 0, len(g.waiting))
 	for _, s := range spots {
--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -39,7 +39,9 @@
 	spaces  []model.PlanSpace
 	// bursts multiply the traffic of a kind between two times.
 	bursts []burst
-	stop   time.Duration // how long the stop of a run takes
+	// stop is how long the stop of a run takes: on the users' sites nearly always
+	// all of the time that it may.
+	stop   time.Duration
 	factor float64
 	// bad workers fail all that they start, hung ones make no progress,
 	// slow ones take slowBy times as long.
@@ -393,7 +395,7 @@
 		return
 	}
 	l.away = true
-	s.after(time.Duration(float64(s.stop)*s.draw(o.Task).Float64()), func() { s.end(l, Stopped) })
+	s.after(s.stop, func() { s.end(l, Stopped) })
 }
 
 // end frees the run's room and tells the engine; the members of a gang that has
