Refuse at once what a store that is known to be away could not take

Change: a node that knows from its last call that the store does not answer passes calls on or refuses them at once, which is true as nothing was sent; the plan's reads tell when the store is back.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -57,9 +57,12 @@
 	// Now is the steady clock; nil means clock.Boot.
 	Now func() time.Duration
 
-	plan     atomic.Pointer[model.Plan]
-	freshAt  atomic.Int64 // ns of the steady clock; 0 before the first plan
-	stale    atomic.Bool
+	plan    atomic.Pointer[model.Plan]
+	freshAt atomic.Int64 // ns of the steady clock; 0 before the first plan
+	stale   atomic.Bool
+	// storeBad is set by a call of the store that failed and cleared by one
+	// that did not; the plan's reads go on all the while.
+	storeBad atomic.Bool
 	draining atomic.Bool
 
 	mu sync.Mutex
@@ -158,6 +161,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, wait+planSlack)
 		change, err := n.Follow(callCtx, after, wait)
 		cancel()
+		n.noteStore(err)
 		switch {
 		case errors.Is(err, rows.ErrCompacted):
 			after, wait = 0, 0
@@ -177,6 +181,11 @@
 	}
 }
 
+// noteStore notes whether the store answers this node.
+func (n *Node) noteStore(err error) {
+	n.storeBad.Store(errors.Is(err, rows.ErrRefused) || errors.Is(err, rows.ErrUnclear))
+}
+
 // apply puts a newer plan in force; a node never goes back to an older one.
 func (n *Node) apply(p *model.Plan) {
 	if p == nil || p.Version <= n.Plan().Version {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -112,6 +112,12 @@
 		reply, err := n.local(ctx, c, g)
 		return n.answer(c, g, reply, err)
 	}
+	if n.storeBad.Load() {
+		// A write that may get no answer would leave the caller in doubt; what
+		// was never sent can be refused at once.
+		reply, err := n.relay(ctx, c)
+		return n.answer(c, g, reply, err)
+	}
 	reply, err := n.both(ctx, c, g)
 	return n.answer(c, g, reply, err)
 }
@@ -239,6 +245,9 @@
 func (n *Node) serveRelayed(ctx context.Context, c *Call) (*Reply, error) {
 	g, err := n.admit(c.Host, c.Path, c.Key)
 	var r Reply
+	if err == nil && n.storeBad.Load() && (c.Op == Submit || c.Op == Cancel) {
+		err = fmt.Errorf("%w: the store does not answer", ErrNotReady)
+	}
 	if err == nil {
 		r, err = n.local(ctx, *c, g)
 	}
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -95,6 +95,9 @@
 		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
 		_, _, err = n.Rows.Commit(tryCtx, txn)
 		cancel()
+		if ctx.Err() == nil {
+			n.noteStore(err)
+		}
 		switch {
 		case err == nil:
 			return false, nil
