Name things by what they do, and refuse at once what an adviser would have to allow

Read as a newcomer: option for a worker with what could be made free, holdNow, holdIfDue and stopUnclear for what they do, fields that nothing read are gone, and the platform's factor decides how long work waits for its rack (the same as before at 3). Work for a queue with an adviser is refused at once, since its workers would refuse each start.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -329,6 +329,23 @@
 	})
 }
 
+func TestWorkThatCanNotBeServedIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := begin(t)
+		advised := basePlan
+		advised.Version = 6
+		advised.Queues = []model.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMs: 3000, Advised: true}}
+		p.plans["edge"], p.plans["owner"] = &advised, &advised
+		time.Sleep(3 * time.Second)
+		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
+		is.True(errors.Is(err, ErrNotReady))
+		reply, err := p.edge.Serve(context.Background(), call(Look, "a"))
+		is.NoErr(err)
+		is.True(!reply.Look.Known) // it is not accepted anywhere
+	})
+}
+
 func TestUnknownJobIsKnownAsSuch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -63,6 +63,11 @@
 	if err := w.Check(); err != nil {
 		return err
 	}
+	if g.Queue.Advised {
+		// Its workers would refuse each start without an adviser's ticket,
+		// and advisers are not asked yet.
+		return fmt.Errorf("%w: queue %s needs an adviser", ErrNotReady, g.Queue.Name)
+	}
 	value, err := json.Marshal(w)
 	if err != nil {
 		return fmt.Errorf("encode work %s: %w", w.ID, err)
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -183,7 +183,7 @@
 	}
 	for s, n := range f.acks {
 		s.acked = max(s.acked, n)
-		s.poke()
+		s.holdNow()
 	}
 	for _, order := range f.starts {
 		o.sendStart(order)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -115,8 +115,6 @@
 	Factor float64
 	// GangWait is how long members of a gang wait for the others.
 	GangWait time.Duration
-	// Beat is how often workers write their entries.
-	Beat time.Duration
 }
 
 // Lead is one node's part in the ownership; set the exported fields, then Run.
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -89,8 +89,8 @@
 type settlement struct {
 	run int64
 	at  time.Duration
-	// chased is set once a start without an answer is being stopped.
-	chased bool
+	// stopping is set once a start without an answer is being stopped.
+	stopping bool
 }
 
 func newOwner(l *Lead, mine right, version uint64, sent time.Duration) *Owner {
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -28,13 +28,10 @@
 )
 
 // session is the owner's dealing with one worker. Its fields belong to the
-// owner's loop; its goroutine works on copies.
+// owner's loop; the calls on their way work on copies and report to the loop.
 type session struct {
 	o     *Owner
 	entry orders.Entry
-	// wake tells the goroutine that something is to be held; it has room for
-	// one signal, further ones are dropped since one is enough.
-	wake chan struct{}
 	// slots bounds the starts on their way.
 	slots chan struct{}
 
@@ -71,7 +68,7 @@
 	s := o.sessions[e.ID]
 	if s == nil {
 		s = &session{
-			o: o, entry: e, wake: make(chan struct{}, 1), slots: make(chan struct{}, startsAtOnce),
+			o: o, entry: e, slots: make(chan struct{}, startsAtOnce),
 			stopSent: map[sched.Ref]time.Duration{},
 			starting: map[sched.Ref]int64{}, unclear: map[sched.Ref]settlement{},
 		}
@@ -80,7 +77,8 @@
 	return s
 }
 
-func (s *session) poke() {
+// holdNow holds the worker unless a hold is on its way.
+func (s *session) holdNow() {
 	if s.holds > 0 || s.ended || s.entry.Addr == "" {
 		return
 	}
@@ -231,7 +229,7 @@
 	}
 	s.vanished(sent, listed, now)
 	s.adopted = false
-	s.chase(sent)
+	s.stopUnclear(sent)
 	if len(out.Ended) > 0 {
 		o.passDue = true
 	}
@@ -301,14 +299,14 @@
 	}
 }
 
-// chase stops the runs whose start got no answer and that the worker does not
+// stopUnclear stops the runs whose start got no answer and that the worker does not
 // list: they might still begin.
-func (s *session) chase(sent time.Duration) {
+func (s *session) stopUnclear(sent time.Duration) {
 	for ref, u := range s.unclear {
-		if u.at >= sent || u.chased {
+		if u.at >= sent || u.stopping {
 			continue
 		}
-		u.chased = true
+		u.stopping = true
 		s.unclear[ref] = u
 		s.o.sendStop(sched.Order{Task: ref, Run: u.run, Stop: true, Worker: s.entry.ID, Reason: "its start got no answer"})
 	}
@@ -329,10 +327,11 @@
 	if !s.silent {
 		s.setSilent(true, err)
 	}
-	time.AfterFunc(holdRetry, func() { s.o.post(s.poke2) })
+	time.AfterFunc(holdRetry, func() { s.o.post(s.holdIfDue) })
 }
 
-func (s *session) poke2() {
+// holdIfDue holds the worker again after a failure, if that is still needed.
+func (s *session) holdIfDue() {
 	if s.holds == 0 && s.due() {
 		s.hold(0)
 	}
@@ -569,7 +568,7 @@
 	}
 	o.setWorker(s)
 	if s.adopted {
-		s.poke()
+		s.holdNow()
 	}
 	if !known {
 		o.passDue = true
--- a/internal/sched/end.go
+++ b/internal/sched/end.go
@@ -81,8 +81,8 @@
 	return now.Steady-b.startedAt < wait-joinMargin
 }
 
-// mend breaks up the gangs whose missing members come too late.
-func (e *Engine) mend(now Moment) {
+// breakShort breaks up the gangs whose missing members come too late.
+func (e *Engine) breakShort(now Moment) {
 	for _, j := range e.open {
 		for k := range j.Batches {
 			for s := range j.Batches[k] {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -77,6 +77,8 @@
 	// more to start: whatever it takes from others is worth nothing, and the
 	// users' rules ask for it once less than half of the pool is in use.
 	idleShare = 0.6
+	// defaultFactor is Factor on the users' sites.
+	defaultFactor = 3
 	// defaultGangWait is GangWait on the smallest sites.
 	defaultGangWait = 3 * time.Second
 	// joinMargin is left of GangWait for a late member's start, its time-out
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -20,8 +20,8 @@
 	cost float64
 }
 
-// plot is a worker with what could be made free on it.
-type plot struct {
+// option is a worker with what could be made free on it.
+type option struct {
 	w       *worker
 	room    model.Room
 	victims []victim // cheapest first; those already stopping cost nothing
@@ -45,24 +45,24 @@
 			ws = append(ws, e.candidates(g, r.workers, now)...)
 		}
 	}
-	plots, cost := e.cheapest(g, ws, owed, now)
+	options, cost := e.cheapest(g, ws, owed, now)
 	if cost < 0 {
 		return false
 	}
-	e.evict(g, plots, now)
+	e.evict(g, options, now)
 	return true
 }
 
 func (e *Engine) evictOnRack(g *group, owed map[*Job]bool, now Moment) bool {
-	var best []*plot
+	var best []*option
 	least := -1.0
 	for _, r := range e.racks {
 		if r.pool != g.queue.Pool {
 			continue
 		}
-		plots, cost := e.cheapest(g, e.candidates(g, r.workers, now), owed, now)
+		options, cost := e.cheapest(g, e.candidates(g, r.workers, now), owed, now)
 		if cost >= 0 && (least < 0 || cost < least) {
-			best, least = plots, cost
+			best, least = options, cost
 		}
 	}
 	if best == nil {
@@ -73,22 +73,22 @@
 }
 
 // cheapest chooses a worker for each waiting task so that the least work is lost;
-// the cost is negative if there is no such choice. The plots come back one for
+// the cost is negative if there is no such choice. The options come back one for
 // each task, in order.
-func (e *Engine) cheapest(g *group, ws []*worker, owed map[*Job]bool, now Moment) ([]*plot, float64) {
-	plots := make([]*plot, 0, len(ws))
+func (e *Engine) cheapest(g *group, ws []*worker, owed map[*Job]bool, now Moment) ([]*option, float64) {
+	options := make([]*option, 0, len(ws))
 	for _, w := range ws {
-		if p := e.plot(g, w, owed, now); p != nil {
-			plots = append(plots, p)
+		if p := e.option(g, w, owed, now); p != nil {
+			options = append(options, p)
 		}
 	}
-	var out []*plot
+	var out []*option
 	total := 0.0
 	need := g.step.Need()
 	for range g.waiting {
-		var best *plot
+		var best *option
 		least, take := 0.0, 0
-		for _, p := range plots {
+		for _, p := range options {
 			if p.quota == 0 {
 				continue
 			}
@@ -112,9 +112,9 @@
 	return out, total
 }
 
-// next returns what one more task on the plot costs, and how many victims that
+// next returns what one more task on the option costs, and how many victims that
 // takes in all.
-func (p *plot) next(need model.Room) (cost float64, take int, ok bool) {
+func (p *option) next(need model.Room) (cost float64, take int, ok bool) {
 	room := p.room
 	for take = p.chosen; ; take++ {
 		if room.Times(need, 1) > 0 {
@@ -128,8 +128,8 @@
 	}
 }
 
-func (e *Engine) plot(g *group, w *worker, owed map[*Job]bool, now Moment) *plot {
-	p := &plot{w: w, room: w.free(), quota: g.quota(w)}
+func (e *Engine) option(g *group, w *worker, owed map[*Job]bool, now Moment) *option {
+	p := &option{w: w, room: w.free(), quota: g.quota(w)}
 	for ref, t := range w.tasks {
 		j := e.jobs[ref.Job]
 		if j == nil {
@@ -193,15 +193,15 @@
 )
 
 // evict stops the chosen victims and keeps the room for the group.
-func (e *Engine) evict(g *group, plots []*plot, now Moment) {
-	for _, p := range plots {
+func (e *Engine) evict(g *group, options []*option, now Moment) {
+	for _, p := range options {
 		for _, v := range p.victims[:p.chosen] {
 			e.stopRun(v.ref, "urgent work of "+g.job.Work.Workspace+" is owed its room")
 		}
 		p.chosen = 0
 	}
 	for at, i := range g.waiting {
-		w := plots[at].w
+		w := options[at].w
 		g.batch.Tasks[i].held = w.ID
 		w.held = w.held.Plus(g.step.Need(), 1)
 		w.rack.free = w.rack.free.Minus(g.step.Need(), 1)
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -211,6 +211,16 @@
 	if g.queue.Priority == 0 {
 		return waited >= urgentRackWait
 	}
-	extra := time.Duration(g.step.EstimateMs) * time.Millisecond
+	// Half of the time that spreading would cost; the other half may be lost
+	// by waiting in vain.
+	extra := time.Duration(float64(g.step.EstimateMs)*(e.factor()-1)/2) * time.Millisecond
 	return waited >= extra
 }
+
+// factor is how many times as long a task takes off its rack.
+func (e *Engine) factor() float64 {
+	if e.Limits.Factor > 0 {
+		return e.Limits.Factor
+	}
+	return defaultFactor
+}
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -12,7 +12,7 @@
 func (e *Engine) Pass(now Moment) {
 	e.init()
 	e.watch(now)
-	e.mend(now)
+	e.breakShort(now)
 	e.startHeld(now)
 	e.index(now)
 	failed := map[shape]bool{}
