--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -18,3 +19,13 @@
 }
 
 var start = time.Now()
+
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"greengageline/internal/clock"
 	"greengageline/internal/lead"
 	"greengageline/internal/orders"
 	"greengageline/internal/peer"
@@ -66,7 +67,7 @@
 				if page := s.since(table, after); len(page.Rows) > 0 {
 					return page, nil
 				}
-				sleep(ctx, wait/10)
+				clock.Sleep(ctx, wait/10)
 			}
 			return s.since(table, after), ctx.Err()
 		},
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -170,7 +170,7 @@
 			// The next read does not wait, so that freshness is shown as soon
 			// as the store answers again.
 			wait = 0
-			sleep(ctx, planRetry)
+			clock.Sleep(ctx, planRetry)
 			continue
 		}
 		after, wait = max(after, change.Version), planWait
@@ -207,16 +207,7 @@
 		case err == nil && n.stale.CompareAndSwap(true, false):
 			n.Log.Emit(event.PlanFresh).Uint64("plan", n.Plan().Version).Send()
 		}
-		sleep(ctx, freshCheck)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		clock.Sleep(ctx, freshCheck)
 	}
 }
 
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/lead"
 	"greengageline/internal/rows"
@@ -95,7 +96,7 @@
 	unclear := false
 	for try := range storeTries {
 		if try > 0 {
-			sleep(ctx, retryPause+rand.N(retryPause))
+			clock.Sleep(ctx, retryPause+rand.N(retryPause))
 		}
 		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
 		_, _, err = n.Rows.Commit(tryCtx, txn)
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/rows"
 	"greengageline/internal/sched"
@@ -146,7 +147,7 @@
 		}
 		o.lead.Count.storeFailed()
 		o.lead.Log.Emit(event.StoreFailed).Str("op", "commit").Int64("n", f.right.N).Int64("age_ms", o.age().Milliseconds()).Err(err).Send()
-		sleep(o.ctx, pause)
+		clock.Sleep(o.ctx, pause)
 	}
 }
 
@@ -212,7 +213,7 @@
 		if released {
 			break
 		}
-		sleep(ctx, retryMin)
+		clock.Sleep(ctx, retryMin)
 	}
 	select {
 	case <-o.ctx.Done():
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -224,16 +224,7 @@
 	}()
 	for ctx.Err() == nil {
 		l.turn(ctx)
-		sleep(ctx, watchEvery-watchEvery/4+rand.N(watchEvery/2))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		clock.Sleep(ctx, watchEvery-watchEvery/4+rand.N(watchEvery/2))
 	}
 }
 
@@ -333,7 +324,7 @@
 	if !free || l.resigning.Load() || l.yielded != 0 && r.Released && l.now()-l.yielded < settleTime {
 		return
 	}
-	sleep(ctx, rand.N(takeJitter)+time.Duration(float64(takeStep)/max(l.Cores, minCores)))
+	clock.Sleep(ctx, rand.N(takeJitter)+time.Duration(float64(takeStep)/max(l.Cores, minCores)))
 	l.take(ctx, row, r)
 }
 
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"greengageline/internal/clock"
 	"greengageline/internal/rows"
 	"greengageline/internal/sched"
 	"greengageline/pkg/model"
@@ -149,7 +150,7 @@
 	"a worker is cut off from the owner that dies": {during: func(w *world, nodes []*node) {
 		o := owner(nodes)
 		w.worker("w1").cut = first(o.Node)
-		sleep(context.Background(), time.Second)
+		clock.Sleep(context.Background(), time.Second)
 		o.kill()
 	}},
 	"answers of a worker are lost": {during: func(w *world, _ []*node) {
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/orders"
 	"greengageline/internal/rows"
@@ -318,7 +319,7 @@
 			o.cancel()
 			return page, false
 		}
-		sleep(o.ctx, pause)
+		clock.Sleep(o.ctx, pause)
 		pause = min(2*pause, retryMax)
 	}
 }
@@ -388,12 +389,12 @@
 		return after
 	}
 	o.lead.Log.Emit(event.StoreFailed).Str("op", "feed "+WorkTable).Err(err).Send()
-	sleep(o.ctx, retryMin)
+	clock.Sleep(o.ctx, retryMin)
 	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
 	defer cancel()
 	page, err := o.lead.Rows.All(ctx, WorkTable)
 	if err != nil {
-		sleep(o.ctx, retryMin)
+		clock.Sleep(o.ctx, retryMin)
 		return after
 	}
 	o.post(func() { o.learnAll(page.Rows) })
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/orders"
 	"greengageline/internal/sched"
@@ -484,7 +485,7 @@
 			if errors.Is(err, orders.ErrFenced) || errors.Is(err, orders.ErrOtherLife) {
 				return
 			}
-			sleep(o.ctx, holdRetry)
+			clock.Sleep(o.ctx, holdRetry)
 		}
 		o.post(func() { s.restop(order) })
 	})
@@ -522,7 +523,7 @@
 		entries, err := o.lead.Fleet.List(ctx)
 		cancel()
 		o.post(func() { o.listedWorkers(entries, err) })
-		sleep(o.ctx, listEvery)
+		clock.Sleep(o.ctx, listEvery)
 	}
 }
 
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"greengageline/internal/clock"
 	"greengageline/internal/orders"
 	"greengageline/internal/rows"
 	"greengageline/internal/sched"
@@ -76,7 +77,7 @@
 			return err
 		}
 	}
-	sleep(ctx, m.took)
+	clock.Sleep(ctx, m.took)
 	if ctx.Err() != nil {
 		return rows.ErrUnclear
 	}
@@ -313,7 +314,7 @@
 const travel = 2 * time.Millisecond
 
 func (m *memWorker) pass(ctx context.Context, who string, later func()) error {
-	sleep(ctx, travel)
+	clock.Sleep(ctx, travel)
 	if m.cut != nil && m.cut(who) {
 		<-ctx.Done()
 		return orders.ErrUnclear
@@ -382,10 +383,10 @@
 			return orders.Held{}, orders.ErrUnclear
 		}
 		if len(out.Ended) > 0 || m.w.now() >= until {
-			sleep(ctx, travel)
+			clock.Sleep(ctx, travel)
 			return out, ctx.Err()
 		}
-		sleep(ctx, 10*time.Millisecond)
+		clock.Sleep(ctx, 10*time.Millisecond)
 		if ctx.Err() != nil {
 			return orders.Held{}, orders.ErrUnclear
 		}
@@ -556,7 +557,7 @@
 					return Pulse{}, err
 				}
 			}
-			sleep(ctx, travel)
+			clock.Sleep(ctx, travel)
 			return byAddr[addr].Pulse(l.Cores), nil
 		}
 		out[i] = &node{Lead: l, done: make(chan struct{})}
