Make the test of a store known to be away fail without its mechanism

Cause: the plan had grown stale by the second call, so the test was green with the mechanism off too. Now the plan stays recent: red with it off, green with it on.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -278,6 +278,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := begin(t)
+		// The plan stays recent, so that only the store's silence refuses.
+		p.owner.FreshFor, p.edge.FreshFor = time.Hour, time.Hour
 		for _, name := range []string{"owner", "edge"} {
 			p.shop.mu.Lock()
 			p.shop.block[name] = unanswered
