Ask the adviser which workers may run a step

Cause: a queue with advice was refused at once, and a plan whose advice had times with fractions could not be read at all, so that no node became ready. Ruled out: asking from the node that accepts (it does not know the workers); storing tickets (they run out within seconds, and what the adviser allows does not change, so a new owner asks again).

Change: the engine asks about the workers on which a group could go, at most two questions at a time and owed work first, starts only where a ticket is valid, renews tickets when there is room, and leaves a failing adviser alone for a while. Room kept for owed work waits for a renewed ticket. A worker that refuses a ticket is not blamed. Without an address of an adviser the work is refused at once, as before.

The tests are red when tickets are ignored and when the adviser is not asked.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -338,7 +338,7 @@
 		p := begin(t)
 		advised := basePlan
 		advised.Version = 6
-		advised.Queues = []model.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMs: 3000, Advised: true}}
+		advised.Queues = []model.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMs: 3000, Advice: &model.Advice{}}}
 		p.plans["edge"], p.plans["owner"] = &advised, &advised
 		time.Sleep(3 * time.Second)
 		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -64,10 +64,9 @@
 	if err := w.Check(); err != nil {
 		return err
 	}
-	if g.Queue.Advised {
-		// Its workers would refuse each start without an adviser's ticket,
-		// and advisers are not asked yet.
-		return fmt.Errorf("%w: queue %s needs an adviser", ErrNotReady, g.Queue.Name)
+	if g.Queue.Advice != nil && n.Lead.Fleet.Advise == nil {
+		// Its workers would refuse each start without an adviser's ticket.
+		return fmt.Errorf("%w: queue %s needs an adviser, and the settings name none", ErrNotReady, g.Queue.Name)
 	}
 	value, err := json.Marshal(w)
 	if err != nil {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,7 @@
 	TaskVanished   ID = 323
 	TaskStray      ID = 324
 	StartFailed    ID = 325
+	Advised        ID = 326
 	Placed         ID = 401
 	Evicted        ID = 402
 	Held           ID = 403
@@ -129,6 +130,7 @@
 	{TaskVanished, "task-vanished", zerolog.WarnLevel, "A worker no longer knows a run that it had; the task waits again."},
 	{TaskStray, "task-stray", zerolog.WarnLevel, "A worker has a run that the records don't know; it is stopped."},
 	{StartFailed, "start-failed", zerolog.WarnLevel, "The order to start a run failed; the line tells whether it may still be carried out."},
+	{Advised, "advised", zerolog.InfoLevel, "The adviser was asked which workers may run a step; the line gives how many it allows, or the error."},
 	{Placed, "placed", zerolog.InfoLevel, "A placement was decided; the line gives mode, workers and reason."},
 	{Evicted, "evicted", zerolog.InfoLevel, "A job is stopped to give its places back; the line gives the reason."},
 	{Held, "held", zerolog.InfoLevel, "Places are held for a blocked gang."},
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -73,6 +73,14 @@
 
 var scenarios = map[string]scenario{
 	"calm": {},
+	"an adviser allows half of the workers": {before: func(w *world, _ []*node) {
+		w.advise(3 * time.Second)
+	}, limit: time.Minute},
+	"an adviser's tickets run out soon and the owner dies": {before: func(w *world, _ []*node) {
+		w.advise(600 * time.Millisecond)
+	}, during: func(_ *world, nodes []*node) {
+		owner(nodes).kill()
+	}, limit: time.Minute},
 	"the owner dies": {during: func(_ *world, nodes []*node) {
 		owner(nodes).kill()
 	}},
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -237,6 +237,9 @@
 		o.lead.Log.Emit(event.TaskPlaced).Str("task", order.Task.String()).Int64("run", order.Run).
 			Str("worker", order.Worker).Str("reason", order.Reason).Int64("epoch", o.epoch).Uint64("plan", o.plan).Send()
 	}
+	for _, q := range o.engine.TakeQuestions() {
+		o.consult(q)
+	}
 	for _, id := range o.engine.TakeChanged() {
 		o.dirty[id] = true
 	}
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -210,6 +210,7 @@
 	if s.born != 0 && out.Born != 0 && out.Born != s.born {
 		o.lead.Log.Emit(event.WorkerReborn).Str("worker", s.entry.ID).Int64("born", out.Born).Int64("before", s.born).Send()
 		s.heard, s.offered, s.acked, s.ackSent = 0, 0, 0, 0
+		o.engine.ForgetAdvice(s.entry.ID)
 	}
 	s.born, s.proven = out.Born, true
 	s.ackSent = max(s.ackSent, in.Acked)
@@ -371,7 +372,7 @@
 	}
 	in := orders.Start{
 		Task: order.Task, Run: order.Run, Payload: j.Work.Payload, Epoch: o.epoch,
-		DeadlineMs: s.deadline(), Saved: order.Saved,
+		DeadlineMs: s.deadline(), Saved: order.Saved, Ticket: order.Ticket,
 	}
 	s.starting[order.Task] = order.Run
 	s.leaseUntil = max(s.leaseUntil, o.lead.now()+o.leaseTail())
@@ -446,6 +447,9 @@
 	case errors.Is(err, orders.ErrFenced):
 		o.lead.Log.Emit(event.LeadLost).Int64("epoch", o.epoch).Str("reason", "a worker obeys a later owner").Send()
 		o.cancel()
+	case errors.Is(err, orders.ErrTicket):
+		o.engine.RejectTicket(in.Task, in.Run, o.moment())
+		o.passDue = true
 	case orders.Nothing(err):
 		o.engine.Reject(in.Task, in.Run, o.moment())
 		o.passDue = true
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -218,6 +218,8 @@
 	plan    model.Plan
 	work    map[string]*model.Work
 	rnd     *rand.Rand
+	// adviser is nil if no queue needs one.
+	adviser func(ctx context.Context, step sched.Ref, workers []string) (orders.Advice, error)
 }
 
 func newWorld(n int) *world {
@@ -254,6 +256,9 @@
 // fleet returns the workers as the node who reaches them.
 func (w *world) fleet(who string) *orders.Fleet {
 	return &orders.Fleet{
+		Advise: func(ctx context.Context, step sched.Ref, workers []string) (orders.Advice, error) {
+			return w.adviser(ctx, step, workers)
+		},
 		List: func(ctx context.Context) ([]orders.Entry, error) {
 			if err := w.store.asked(ctx, who, "list"); err != nil {
 				return nil, err
@@ -289,6 +294,48 @@
 	}
 }
 
+// advise lets every queue need an adviser, that allows the even workers with
+// tickets for valid and loses each third question.
+func (w *world) advise(valid time.Duration) {
+	for i := range w.plan.Queues {
+		w.plan.Queues[i].Advice = &model.Advice{DecideMs: 20, EachMs: 1, ValidMs: float64(valid.Milliseconds())}
+	}
+	w.plan.Version++
+	asked := 0
+	w.adviser = func(ctx context.Context, step sched.Ref, workers []string) (orders.Advice, error) {
+		w.mu.Lock()
+		asked++
+		lost := asked%3 == 0
+		w.mu.Unlock()
+		if lost {
+			<-ctx.Done()
+			return orders.Advice{}, ctx.Err()
+		}
+		clock.Sleep(ctx, 20*time.Millisecond)
+		out := orders.Advice{Tickets: map[string]string{}, Valid: valid}
+		for _, id := range workers {
+			if n := id[len(id)-1]; n%2 == 0 {
+				out.Tickets[id] = fmt.Sprintf("%s.%d.%d %s %d", step.Job, step.Time, step.Step, id, (w.now() + valid).Milliseconds())
+			}
+		}
+		return out, nil
+	}
+}
+
+// ticketed reports whether a start carries a valid ticket, where one is needed.
+func (m *memWorker) ticketed(in orders.Start) bool {
+	if m.w.adviser == nil {
+		return true
+	}
+	var step, id string
+	var until int64
+	if _, err := fmt.Sscanf(in.Ticket, "%s %s %d", &step, &id, &until); err != nil {
+		return false
+	}
+	want := fmt.Sprintf("%s.%d.%d", in.Task.Job, in.Task.Time, in.Task.Step)
+	return step == want && id == m.id && m.w.now().Milliseconds() <= until
+}
+
 func (w *world) worker(id string) *memWorker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -444,6 +491,9 @@
 		return m.clock(), orders.ErrFenced
 	}
 	m.turn()
+	if !m.ticketed(in) {
+		return m.clock(), orders.ErrTicket
+	}
 	if r := m.runs[in.Task]; r != nil && r.run == in.Run {
 		return m.clock(), nil
 	}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -95,6 +95,15 @@
 	Epoch      int64
 	DeadlineMs int64
 	Saved      string
+	// Ticket is the adviser's, if the queue has one.
+	Ticket string
+}
+
+// Advice is an adviser's answer: a ticket for each worker that may run the
+// step, all valid for Valid from the question on.
+type Advice struct {
+	Tickets map[string]string
+	Valid   time.Duration
 }
 
 // Fleet is what the product needs of the workers. Errors wrap one of the
@@ -105,6 +114,9 @@
 	Hold  func(ctx context.Context, e Entry, in Hold) (Held, error)
 	Start func(ctx context.Context, e Entry, in Start) (clockMs int64, err error)
 	Stop  func(ctx context.Context, e Entry, task sched.Ref, run, epoch int64) error
+	// Advise asks which of some workers may run the tasks of a step, of which
+	// Task is not used; nil means that there is no adviser.
+	Advise func(ctx context.Context, step sched.Ref, workers []string) (Advice, error)
 	// Forget drops the connections to a worker that is gone.
 	Forget func(e Entry)
 }
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -32,6 +32,13 @@
 	urgentAt time.Duration
 	// watchedAt is when runs were last looked through for progress.
 	watchedAt time.Duration
+	// questions are those decided since the last call of TakeQuestions, asked
+	// the number without an answer.
+	questions []Question
+	asked     int
+	// askAt is when the adviser may be asked again after it failed, askPause
+	// the last pause.
+	askAt, askPause time.Duration
 }
 
 // Limits are the thresholds of decisions.
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -262,6 +262,8 @@
 		spots = append(spots, w)
 	}
 	switch {
+	case keep && fits && g.queue.Advice != nil && !b.advice.allValid(spots, now):
+		e.consult(g, now)
 	case keep && fits:
 		e.unhold(b, g.step)
 		g.owed = true
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -108,11 +108,24 @@
 		"slow workers": engrave().with(func(l *load) {
 			l.slow, l.faultFrom, l.faultFor = []int{1, 2, 12, 13, 25, 26, 40, 41}, 5*time.Second, 7*time.Second
 		}),
+		"advised": engrave().with(func(l *load) { advised(l, 0.5, 3000) }),
+		"advised, tickets for half a second": engrave().with(func(l *load) {
+			advised(l, 0.6, 500)
+			l.bursts = []burst{urgent}
+		}),
+		"advised, every third question is lost": engrave().with(func(l *load) {
+			advised(l, 0.5, 3000)
+			l.failAdvice = 3
+		}),
 		"visits":       visits(),
 		"visits burst": visits().with(func(l *load) { l.bursts = []burst{urgent} }),
 	}
 }
 
+func advised(l *load, allowed, validMs float64) {
+	l.advice, l.allowed = &model.Advice{DecideMs: 20, EachMs: 0.5, ValidMs: validMs}, allowed
+}
+
 func halve(l *load) {
 	kinds := make([]kind, len(l.kinds))
 	for i, k := range l.kinds {
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -32,6 +32,7 @@
 		}
 		if !e.place(g, now) {
 			failed[key] = true
+			e.consult(g, now)
 		}
 	}
 }
@@ -102,6 +103,8 @@
 	oneRack, owed     bool
 	retry             bool
 	priority          int
+	// advised is set for a group of which an adviser has an opinion of its own.
+	advised *Batch
 }
 
 func (g *group) shape() shape {
@@ -109,8 +112,12 @@
 	if g.step.Gang {
 		n = len(g.waiting)
 	}
+	var advised *Batch
+	if g.queue.Advice != nil {
+		advised = g.batch
+	}
 	return shape{
-		pool: g.queue.Pool, label: g.step.Label, rack: g.step.DataRack, need: g.step.Need(), tasks: n,
+		advised: advised, pool: g.queue.Pool, label: g.step.Label, rack: g.step.DataRack, need: g.step.Need(), tasks: n,
 		perWorker: g.step.PerWorker, oneRack: g.step.OneRack, owed: g.owed, retry: g.retry(),
 		priority: g.queue.Priority,
 	}
@@ -304,23 +311,28 @@
 	var out []*worker
 	proven := g.retry()
 	for _, w := range ws {
-		if !w.open(now) || w.Room.Times(g.step.Need(), 1) == 0 {
-			continue
-		}
-		if g.step.Label != "" && !slices.Contains(w.Labels, g.step.Label) {
-			continue
-		}
-		if proven && (w.strikes > 0 || slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].blamed == w.ID })) {
-			continue
-		}
-		if g.batch.short && slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].avoid == w.ID }) {
-			continue
+		if g.suits(w, proven, now) && (g.queue.Advice == nil || g.batch.advice.valid(w.ID, now)) {
+			out = append(out, w)
 		}
-		out = append(out, w)
 	}
 	return out
 }
 
+// suits reports whether a worker may run the group's tasks as far as the engine
+// knows; proven leaves out workers on which work has failed lately.
+func (g *group) suits(w *worker, proven bool, now Moment) bool {
+	if !w.open(now) || w.Room.Times(g.step.Need(), 1) == 0 {
+		return false
+	}
+	if g.step.Label != "" && !slices.Contains(w.Labels, g.step.Label) {
+		return false
+	}
+	if proven && (w.strikes > 0 || slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].blamed == w.ID })) {
+		return false
+	}
+	return !g.batch.short || !slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].avoid == w.ID })
+}
+
 // fill gives each waiting task of the group a worker out of ws, fullest first,
 // or returns nil if not all fit.
 func fill(g *group, ws []*worker, room func(*worker) model.Room) []*worker {
@@ -408,7 +420,7 @@
 			saved = g.batch.Saved
 		}
 		e.orders = append(e.orders, Order{
-			Task: ref, Run: t.Run, Worker: t.Worker, Saved: saved, Reason: g.reason(),
+			Task: ref, Run: t.Run, Worker: t.Worker, Saved: saved, Ticket: g.batch.advice.ticket(t.Worker), Reason: g.reason(),
 		})
 	}
 	e.changed[g.ref.Job] = true
--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -49,6 +49,11 @@
 	slowBy          float64
 	faultFrom       time.Duration
 	faultFor        time.Duration
+	// advice makes an adviser allow the share allowed of the workers for each
+	// step; it takes one question at a time and fails each failAdvice-th.
+	advice     *model.Advice
+	allowed    float64
+	failAdvice int
 }
 
 type burst struct {
@@ -123,6 +128,11 @@
 	passes       int
 	passTime     time.Duration
 	firstWait    map[string]time.Duration
+	// tickets are until when each is valid, by its text; adviserAt is when the
+	// adviser is free again, asked how often it was asked.
+	tickets   map[string]time.Duration
+	adviserAt time.Duration
+	asked     int
 }
 
 func newSim(l load, seed uint64) *sim {
@@ -131,6 +141,10 @@
 		room: map[string]model.Room{}, racks: map[string]string{}, jobs: map[string]*Job{}, kindOf: map[string]int{},
 		done: map[Ref]bool{}, fails: map[Ref]int{}, byKind: make([]float64, len(l.kinds)),
 		owedKind: make([]float64, len(l.kinds)), counts: make([]int, len(l.kinds)), lostKind: make([]float64, len(l.kinds)), firstWait: map[string]time.Duration{},
+		tickets: map[string]time.Duration{},
+	}
+	for i := range l.kinds {
+		l.kinds[i].queue.Advice = l.advice
 	}
 	for i := range l.kinds {
 		s.rnds = append(s.rnds, rand.New(rand.NewPCG(seed, uint64(i))))
@@ -257,6 +271,9 @@
 	s.passTime += time.Since(began)
 	s.passes++
 	s.e.TakeChanged()
+	for _, q := range s.e.TakeQuestions() {
+		s.advise(q)
+	}
 	gangs := map[int64]int{}
 	for _, o := range s.e.TakeOrders() {
 		if o.Stop {
@@ -271,6 +288,44 @@
 	}
 }
 
+// advise answers a question after those before it.
+func (s *sim) advise(q Question) {
+	s.asked++
+	sent := s.now
+	s.adviserAt = max(s.adviserAt, s.now) + q.Takes
+	if s.failAdvice > 0 && s.asked%s.failAdvice == 0 {
+		s.after(s.adviserAt+time.Second-s.now, func() { s.e.Unadvised(q, s.moment()) })
+		return
+	}
+	s.after(s.adviserAt-s.now, func() {
+		valid := time.Duration(s.advice.ValidMs) * time.Millisecond
+		tickets := map[string]string{}
+		for _, id := range q.Workers {
+			if s.allows(q.Step, id) {
+				tickets[id] = fmt.Sprintf("%s/%s/%d", q.Step, id, s.asked)
+				s.tickets[tickets[id]] = s.now + valid
+			}
+		}
+		s.e.Advised(q, tickets, sent, valid)
+		s.pass()
+	})
+}
+
+func (s *sim) allows(step Ref, worker string) bool {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s.%d.%d/%s", step.Job, step.Time, step.Step, worker)
+	return rand.New(rand.NewPCG(s.seed, h.Sum64())).Float64() < s.allowed
+}
+
+func (s *sim) checkTicket(o Order) {
+	if s.advice == nil {
+		return
+	}
+	if until, ok := s.tickets[o.Ticket]; !ok || until < s.now || !s.allows(o.Task, o.Worker) {
+		s.fail("%s starts on %s with ticket %q, which is valid until %s", o.Task, o.Worker, o.Ticket, until)
+	}
+}
+
 func (s *sim) checkGang(run int64, n int) {
 	for ref, l := range s.runs {
 		if l.run == run {
@@ -303,6 +358,7 @@
 	if s.done[o.Task] {
 		s.fail("%s starts after it was done", o.Task)
 	}
+	s.checkTicket(o)
 	for _, a := range step.After {
 		for i := range j.Work.Steps[a].Tasks {
 			if !s.done[Ref{o.Task.Job, o.Task.Time, a, i}] {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -88,10 +88,12 @@
 	run       int64
 	startedAt time.Duration
 	short     bool
-	ended     int
-	heldAt    time.Duration
-	readyAt   time.Duration
-	ready     bool
+	// advice is what the adviser has said of workers, if the queue has one.
+	advice  advice
+	ended   int
+	heldAt  time.Duration
+	readyAt time.Duration
+	ready   bool
 }
 
 // State is a job's state as its caller sees it.
@@ -187,6 +189,8 @@
 	Stop   bool
 	Worker string
 	Saved  string
+	// Ticket is the adviser's for the worker, if the queue has one.
+	Ticket string
 	// Reason says why, for the log.
 	Reason string
 }
--- a/pkg/model/work.go
+++ b/pkg/model/work.go
@@ -187,8 +187,18 @@
 	TimeoutMs int64   `json:"timeout_ms,omitempty"`
 	// Open queues need no key.
 	Open bool `json:"open,omitempty"`
-	// Advised queues may run only on workers that an adviser allows.
-	Advised bool `json:"advised,omitempty"`
+	// Advice is set for queues whose tasks may run only on workers that the
+	// adviser allows, and says how it answers.
+	Advice *Advice `json:"advice,omitempty"`
+}
+
+// Advice says how the adviser of a queue answers a question.
+type Advice struct {
+	// DecideMs and EachMs are the time of a question and of each worker in it.
+	DecideMs float64 `json:"decide_ms,omitempty"`
+	EachMs   float64 `json:"each_ms,omitempty"`
+	// ValidMs is how long a ticket is valid; an answer may tell another figure.
+	ValidMs float64 `json:"valid_ms,omitempty"`
 }
 
 // PlanSpace is a workspace in a plan.
