Spread accepted work over 16 parts of the store

Cause: all rows lay in one part, which takes one transaction after another. While the store was 60 times slower than usual it took two a second, so that acceptances queued up behind each other and behind the owner's transactions and most were refused by the store (429) or got no answer. Besides, the owner sent a transaction again after 0.6 s that took 0.7 s, and nodes asked the owner to write the same job a second time.

Ruled out: the rates of the store (a few calls a second against 800), the freshness of plans (no node was stale).

Change: the rows of accepted work lie in 16 parts by the hash of the job's id; a takeover and a count read them at once, eight at a time. Ended work is removed before its record, and a record without work by the next owner. A transaction is sent again after twice the time of the last one; another node is asked to write too after twice the time of the node's own last write; while the store is slow, nodes tell the owner of new work directly.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -29,6 +29,10 @@
 	// block says what happens to a node's calls: nil passes them, a nil error
 	// from it leaves them without an answer.
 	block map[string]func() error
+	// each is the time that a part takes for a transaction; free is when each
+	// part can take the next.
+	each time.Duration
+	free map[string]time.Time
 }
 
 func (s *shop) view(who string) *rows.Store {
@@ -50,13 +54,16 @@
 			if err := pass(ctx); err != nil {
 				return 0, nil, err
 			}
+			if err := s.inTurn(ctx, t); err != nil {
+				return 0, nil, err
+			}
 			return s.commit(t)
 		},
-		Range: func(ctx context.Context, table, from, to string) (rows.Page, error) {
+		Range: func(ctx context.Context, table, part, from, to string) (rows.Page, error) {
 			if err := pass(ctx); err != nil {
 				return rows.Page{}, err
 			}
-			return s.get(table, from, to), nil
+			return s.get(table, part, from, to), nil
 		},
 		Feed: func(ctx context.Context, table string, after uint64, wait time.Duration) (rows.Page, error) {
 			if err := pass(ctx); err != nil {
@@ -78,35 +85,68 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range t.If {
-		if r := s.rows[c.Table+" "+c.Key]; r.Version != c.Version {
-			r.Table, r.Key = c.Table, c.Key
+		if r := s.rows[nameOf(c)]; r.Version != c.Version {
+			r.Table, r.Part, r.Key = c.Table, c.Part, c.Key
 			return 0, []rows.Row{r}, rows.ErrConflict
 		}
 	}
 	s.version++
 	for _, p := range t.Put {
 		p.Version = s.version
-		s.rows[p.Table+" "+p.Key] = p
+		s.rows[nameOf(p)] = p
 	}
 	return s.version, nil, nil
 }
 
-func (s *shop) get(table, from, to string) rows.Page {
+func nameOf(r rows.Row) string { return r.Table + " " + r.Part + " " + r.Key }
+
+func (s *shop) get(table, part, from, to string) rows.Page {
+	return s.find(func(r rows.Row) bool {
+		return r.Table == table && r.Part == part && r.Key >= from && (to == "" || r.Key < to)
+	})
+}
+
+func (s *shop) find(match func(rows.Row) bool) rows.Page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := rows.Page{Version: s.version}
 	for _, r := range s.rows {
-		if r.Table == table && r.Key >= from && (to == "" || r.Key < to) {
+		if match(r) {
 			page.Rows = append(page.Rows, r)
 		}
 	}
 	return page
 }
 
+// inTurn lets a part take one transaction after another and refuses those that
+// come when more than a second of them wait.
+func (s *shop) inTurn(ctx context.Context, t rows.Txn) error {
+	if s.each == 0 {
+		return nil
+	}
+	part := slices.Concat(t.If, t.Put, t.Drop)[0].Part
+	s.mu.Lock()
+	now := time.Now()
+	at := s.free[part]
+	if at.Before(now) {
+		at = now
+	}
+	if at.Sub(now) > time.Second {
+		s.mu.Unlock()
+		return rows.ErrRefused
+	}
+	at = at.Add(s.each)
+	s.free[part] = at
+	s.mu.Unlock()
+	clock.Sleep(ctx, at.Sub(now))
+	if ctx.Err() != nil {
+		return rows.ErrUnclear
+	}
+	return nil
+}
+
 func (s *shop) since(table string, after uint64) rows.Page {
-	page := s.get(table, "", "")
-	page.Rows = slices.DeleteFunc(page.Rows, func(r rows.Row) bool { return r.Version <= after })
-	return page
+	return s.find(func(r rows.Row) bool { return r.Table == table && r.Version > after })
 }
 
 // cut has the store treat the node that is not the owner as block says.
@@ -133,7 +173,7 @@
 func begin(t *testing.T) *pair {
 	t.Helper()
 	p := &pair{
-		shop:  &shop{rows: map[string]rows.Row{}, block: map[string]func() error{}},
+		shop:  &shop{rows: map[string]rows.Row{}, block: map[string]func() error{}, free: map[string]time.Time{}},
 		plans: map[string]*model.Plan{"owner": &basePlan, "edge": &basePlan}, reach: true,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -190,6 +230,18 @@
 	case "Pulse":
 		pulse := n.Lead.Pulse(in.(*pulseIn).Cores)
 		reply = &pulse
+	case "Note":
+		var v noteIn
+		data, err := cbor.Marshal(in)
+		if err != nil {
+			return err
+		}
+		if err := cbor.Unmarshal(data, &v); err != nil {
+			return err
+		}
+		if reply, err = n.noted(ctx, &v); err != nil {
+			return err
+		}
 	case "Serve":
 		var c Call
 		data, err := cbor.Marshal(in)
@@ -304,6 +356,37 @@
 	})
 }
 
+// Six jobs a second come while a part of the store takes half a second for each
+// transaction: all are accepted, and in time, since they do not wait for one
+// another or for the owner.
+func TestJobsAreAcceptedWhileTheStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := begin(t)
+		p.shop.each = 480 * time.Millisecond
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		inTime := 0
+		for i := range 36 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				from := time.Now()
+				c := call(Submit, fmt.Sprintf("%016x", i*0x9e3779b9))
+				c.Waits = 3 * time.Second
+				if _, err := p.edge.Serve(context.Background(), c); err == nil && time.Since(from) < 1500*time.Millisecond {
+					mu.Lock()
+					inTime++
+					mu.Unlock()
+				}
+			}()
+			time.Sleep(time.Second / 6)
+		}
+		wg.Wait()
+		is.Equal(inTime, 36)
+	})
+}
+
 func TestStaleNodeHonoursNoKeyThatWasTakenAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -63,6 +63,8 @@
 	// storeBad is set by a call of the store that failed and cleared by one
 	// that did not; the plan's reads go on all the while.
 	storeBad atomic.Bool
+	// wroteIn is how long the last write took that succeeded, in ns.
+	wroteIn  atomic.Int64
 	draining atomic.Bool
 
 	mu sync.Mutex
@@ -235,6 +237,7 @@
 			return &p, nil
 		}),
 		peer.Method("Serve", n.serveRelayed),
+		peer.Method("Note", n.noted),
 	)
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -10,6 +10,7 @@
 	"greengageline/internal/event"
 	"greengageline/internal/lead"
 	"greengageline/internal/peer"
+	"greengageline/internal/rows"
 	"greengageline/pkg/model"
 )
 
@@ -64,8 +65,12 @@
 
 const (
 	// relayAfter is how long the store may take before the owner is asked to
-	// do the same: some ten times its usual answer.
-	relayAfter = 150 * time.Millisecond
+	// do the same: some ten times its usual answer. Where the last write took
+	// long the store is slow for all, and relayFactor times that is waited, up
+	// to maxRelayAfter, as a second write only queues up behind the first.
+	relayAfter    = 150 * time.Millisecond
+	relayFactor   = 2
+	maxRelayAfter = time.Second
 	// askOwner bounds a question to the owner before the store is read instead.
 	askOwner = 350 * time.Millisecond
 )
@@ -177,7 +182,7 @@
 		r, err := n.local(ctx, c, g)
 		out <- outcome{r, err}
 	}()
-	timer := time.NewTimer(relayAfter)
+	timer := time.NewTimer(min(max(relayAfter, relayFactor*time.Duration(n.wroteIn.Load())), maxRelayAfter))
 	defer timer.Stop()
 	pending, relayed := 1, n.Lead.Own() != nil
 	relay := func() {
@@ -218,6 +223,36 @@
 	return a
 }
 
+// noteTimeout bounds the word to the owner of new work, which its feed brings too.
+const noteTimeout = 350 * time.Millisecond
+
+type noteIn struct {
+	ID string `json:"id"`
+	// Work is the value of the job's row.
+	Work []byte `json:"work"`
+}
+
+// note tells the owner of work that was just made durable. It is used while the
+// store is slow, as the owner's feed is then slow too.
+func (n *Node) note(row rows.Row) {
+	addr := n.Lead.OwnerAddr()
+	if addr == "" || addr == n.Lead.Addr {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
+	defer cancel()
+	var out struct{}
+	// Without an answer the feed brings the work.
+	_ = n.call(ctx, addr, "Note", &noteIn{ID: row.Key, Work: row.Value}, &out)
+}
+
+func (n *Node) noted(_ context.Context, in *noteIn) (*struct{}, error) {
+	if o := n.Lead.Own(); o != nil {
+		o.Accepted(rows.Row{Table: lead.WorkTable, Part: lead.WorkPart(in.ID), Key: in.ID, Value: in.Work})
+	}
+	return &struct{}{}, nil
+}
+
 // relay has the owner's node serve a call.
 func (n *Node) relay(ctx context.Context, c Call) (Reply, error) {
 	addr := n.Lead.OwnerAddr()
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -72,19 +72,25 @@
 	if err != nil {
 		return fmt.Errorf("encode work %s: %w", w.ID, err)
 	}
-	row := rows.Row{Table: lead.WorkTable, Key: w.ID, Value: value}
+	row := rows.Row{Table: lead.WorkTable, Part: lead.WorkPart(w.ID), Key: w.ID, Value: value}
 	started := n.now()
 	repeated, err := n.write(ctx, rows.Txn{
-		If:  []rows.Row{{Table: row.Table, Key: row.Key}},
+		If:  []rows.Row{{Table: row.Table, Part: row.Part, Key: row.Key}},
 		Put: []rows.Row{row},
 	})
 	if err != nil {
 		return err
 	}
+	took := n.now() - started
 	n.Log.Emit(event.WorkAccepted).Str("job", w.ID).Str("queue", g.Queue.Name).Str("workspace", g.Workspace).
-		Bool("repeated", repeated).Uint64("plan", g.Plan).Int64("took_ms", (n.now() - started).Milliseconds()).Send()
-	if o := n.Lead.Own(); o != nil && !repeated {
+		Bool("repeated", repeated).Uint64("plan", g.Plan).Int64("took_ms", took.Milliseconds()).Send()
+	o := n.Lead.Own()
+	switch {
+	case repeated:
+	case o != nil:
 		o.Accepted(row)
+	case took > relayAfter:
+		go n.note(row)
 	}
 	return nil
 }
@@ -97,6 +103,7 @@
 		if try > 0 {
 			clock.Sleep(ctx, retryPause+rand.N(retryPause))
 		}
+		sent := n.now()
 		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
 		_, _, err = n.Rows.Commit(tryCtx, txn)
 		cancel()
@@ -105,6 +112,7 @@
 		}
 		switch {
 		case err == nil:
+			n.wroteIn.Store(int64(n.now() - sent))
 			return false, nil
 		case errors.Is(err, rows.ErrConflict):
 			return true, nil
@@ -125,12 +133,12 @@
 // known. A cancellation of an unknown job is kept too, since its acceptance
 // may still be on its way.
 func (n *Node) cancel(ctx context.Context, id string) (found bool, err error) {
-	work, err := n.Rows.Get(ctx, lead.WorkTable, id)
+	work, err := n.Rows.Get(ctx, lead.WorkTable, lead.WorkPart(id), id)
 	if err != nil {
 		return false, fmt.Errorf("%w: %w", ErrBusy, err)
 	}
-	row := rows.Row{Table: lead.WorkTable, Key: id + lead.CancelSuffix, Value: []byte("{}")}
-	if _, err := n.write(ctx, rows.Txn{If: []rows.Row{{Table: row.Table, Key: row.Key}}, Put: []rows.Row{row}}); err != nil {
+	row := rows.Row{Table: lead.WorkTable, Part: lead.WorkPart(id), Key: id + lead.CancelSuffix, Value: []byte("{}")}
+	if _, err := n.write(ctx, rows.Txn{If: []rows.Row{{Table: row.Table, Part: row.Part, Key: row.Key}}, Put: []rows.Row{row}}); err != nil {
 		return false, err
 	}
 	if o := n.Lead.Own(); o != nil {
@@ -175,11 +183,11 @@
 
 // countStored counts from the rows, for a node that can't ask the owner.
 func (n *Node) countStored(ctx context.Context, queue string) (int, error) {
-	work, err := n.Rows.All(ctx, lead.WorkTable)
+	work, err := n.Rows.Parts(ctx, lead.WorkTable, lead.WorkPartNames())
 	if err != nil {
 		return 0, fmt.Errorf("read work: %w", err)
 	}
-	records, err := n.Rows.All(ctx, lead.RecordTable)
+	records, err := n.Rows.All(ctx, lead.RecordTable, "")
 	if err != nil {
 		return 0, fmt.Errorf("read records: %w", err)
 	}
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -124,7 +124,8 @@
 	}
 	f.txn.If = []rows.Row{{Table: RightTable, Key: rightKey, Version: o.version}}
 	f.txn.Put = append(f.txn.Put, rows.Row{Table: RightTable, Key: rightKey, Value: value})
-	limit := firstTry
+	limit := min(max(firstTry, tryFactor*o.tookLast), storeTimeout)
+	began := o.lead.now()
 	for pause := retryMin; o.ctx.Err() == nil; pause = min(2*pause, retryMax) {
 		f.sent = o.lead.now()
 		ctx, cancel := context.WithTimeout(o.ctx, limit)
@@ -137,7 +138,11 @@
 		if err == nil {
 			o.committedAt.Store(int64(f.sent))
 			o.committed.Store(version)
-			o.post(func() { o.landed(f, version) })
+			took := o.lead.now() - began
+			o.post(func() {
+				o.tookLast = took
+				o.landed(f, version)
+			})
 			return
 		}
 		if errors.Is(err, errLost) {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -10,6 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
 	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/orders"
@@ -29,6 +32,19 @@
 	CancelSuffix = "/x"
 )
 
+// workParts is how many parts accepted work is spread over, by its id. A part
+// takes one transaction after another; a store that is 60 times slower than
+// usual takes two a second in each. A takeover reads them all.
+const workParts = 16
+
+// WorkPart returns the part in which a job's rows of WorkTable lie.
+func WorkPart(id string) string { return partName(int(xxhash.Sum64String(id) % workParts)) }
+
+// WorkPartNames returns the names of all parts of WorkTable.
+func WorkPartNames() []string { return lo.Times(workParts, partName) }
+
+func partName(n int) string { return fmt.Sprintf("%02d", n) }
+
 const (
 	// watchEvery is how often a node asks the owner whether it is well: a few
 	// times within deadAfter.
@@ -59,8 +75,11 @@
 	// which holds an owner up: some 20 times its usual answer.
 	promptRead = 100 * time.Millisecond
 	// firstTry bounds the first sending of a transaction, storeTimeout later
-	// ones: a connection may be silent while a new one works.
-	firstTry = 600 * time.Millisecond
+	// ones: a connection may be silent while a new one works. A sending may take
+	// tryFactor times as long as the last transaction, since a second one only
+	// queues up behind the first where the store is slow.
+	firstTry  = 600 * time.Millisecond
+	tryFactor = 2
 	// takeJitter spreads the nodes that find the row free at one moment; the
 	// larger ones go first by takeStep divided by their cores.
 	takeJitter = 60 * time.Millisecond
@@ -293,7 +312,7 @@
 func (l *Lead) look(ctx context.Context, answers bool) {
 	asked := l.now()
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	row, err := l.Rows.Get(readCtx, RightTable, rightKey)
+	row, err := l.Rows.Get(readCtx, RightTable, "", rightKey)
 	cancel()
 	if err != nil {
 		l.seenNow = false
@@ -378,14 +397,14 @@
 // StateOf reads a job's state from the store, for a node that can't ask the
 // owner.
 func StateOf(ctx context.Context, s *rows.Store, id string) (Look, error) {
-	work, err := s.Get(ctx, WorkTable, id)
+	work, err := s.Get(ctx, WorkTable, WorkPart(id), id)
 	if err != nil {
 		return Look{}, fmt.Errorf("read job %s: %w", id, err)
 	}
 	if work.Version == 0 {
 		return Look{}, nil
 	}
-	row, err := s.Get(ctx, RecordTable, id)
+	row, err := s.Get(ctx, RecordTable, "", id)
 	if err != nil {
 		return Look{}, fmt.Errorf("read the record of job %s: %w", id, err)
 	}
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/orders"
@@ -76,7 +78,11 @@
 	version  uint64 // of the right row
 	flying   bool
 	flownAt  time.Duration // when the transaction on its way was first sent
+	// tookLast is how long the last transaction took; it is changed only while
+	// none is on its way.
+	tookLast time.Duration
 	purgeAt  time.Duration
+	purging  bool // rows of ended jobs are being removed
 	plan     uint64
 	listOK   bool
 	backAt   time.Duration // when the list was readable again
@@ -254,11 +260,11 @@
 // feed of work goes on.
 func (o *Owner) rebuild(mayLive bool) (uint64, bool) {
 	started := o.lead.now()
-	work, ok := o.readAll(WorkTable)
+	work, ok := o.readAll(WorkTable, WorkPartNames())
 	if !ok {
 		return 0, false
 	}
-	records, ok := o.readAll(RecordTable)
+	records, ok := o.readAll(RecordTable, []string{""})
 	if !ok {
 		return 0, false
 	}
@@ -269,6 +275,11 @@
 	o.tick()
 	for _, r := range work.Rows {
 		o.learn(r, stored[r.Key])
+		delete(stored, r.Key)
+	}
+	for id := range stored {
+		// Its work was removed, and the owner that did so ended before the rest.
+		o.drops = append(o.drops, rows.Row{Table: RecordTable, Key: id})
 	}
 	until := o.lead.now() + o.leaseTail()
 	if mayLive {
@@ -308,11 +319,11 @@
 // lease on its own clock, so that only its last reading matters.
 const transitSlack = 200 * time.Millisecond
 
-func (o *Owner) readAll(table string) (rows.Page, bool) {
+func (o *Owner) readAll(table string, parts []string) (rows.Page, bool) {
 	pause := retryMin
 	for {
 		ctx, cancel := context.WithTimeout(o.ctx, 2*storeTimeout)
-		page, err := o.lead.Rows.All(ctx, table)
+		page, err := o.lead.Rows.Parts(ctx, table, parts)
 		cancel()
 		if err == nil {
 			return page, true
@@ -395,7 +406,7 @@
 	clock.Sleep(o.ctx, retryMin)
 	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
 	defer cancel()
-	page, err := o.lead.Rows.All(ctx, WorkTable)
+	page, err := o.lead.Rows.Parts(ctx, WorkTable, WorkPartNames())
 	if err != nil {
 		clock.Sleep(o.ctx, retryMin)
 		return after
@@ -459,21 +470,49 @@
 	return n, ok
 }
 
-// purge removes the rows of jobs that can no longer be asked for.
+// purge removes the rows of jobs that can no longer be asked for. The work goes
+// first: a record without its work is dropped by the next owner, but work
+// without its record would run again.
 func (o *Owner) purge() {
 	now := o.moment()
-	if now.Steady < o.purgeAt || len(o.drops) > 0 {
+	if now.Steady < o.purgeAt || o.purging || len(o.drops) > 0 {
 		return
 	}
 	o.purgeAt = now.Steady + purgeEvery
-	for _, id := range o.engine.OldEnded(now.UnixMs - (2 * o.lead.Bounds.KeepEnded).Milliseconds()) {
-		if o.dirty[id] || len(o.drops) >= maxEntries/2 {
-			continue
+	old := lo.Reject(o.engine.OldEnded(now.UnixMs-(2*o.lead.Bounds.KeepEnded).Milliseconds()),
+		func(id string, _ int) bool { return o.dirty[id] })
+	if len(old) == 0 {
+		return
+	}
+	o.purging = true
+	o.spawn(func() {
+		var gone []string
+		for part, ids := range lo.GroupBy(old, WorkPart) {
+			ids = ids[:min(len(ids), maxEntries/2)]
+			var t rows.Txn
+			for _, id := range ids {
+				t.Drop = append(t.Drop, rows.Row{Table: WorkTable, Part: part, Key: id},
+					rows.Row{Table: WorkTable, Part: part, Key: id + CancelSuffix})
+			}
+			ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+			_, _, err := o.lead.Rows.Commit(ctx, t)
+			cancel()
+			if err != nil {
+				o.lead.Log.Emit(event.StoreFailed).Str("op", "purge").Str("part", part).Err(err).Send()
+				continue // the next purge comes back to them
+			}
+			gone = append(gone, ids...)
 		}
+		o.post(func() { o.purged(gone) })
+	})
+}
+
+func (o *Owner) purged(ids []string) {
+	o.purging = false
+	for _, id := range ids {
 		o.engine.Forget(id)
 		delete(o.work, id)
 		delete(o.shown, id)
-		o.drops = append(o.drops, rows.Row{Table: WorkTable, Key: id},
-			rows.Row{Table: WorkTable, Key: id + CancelSuffix}, rows.Row{Table: RecordTable, Key: id})
+		o.drops = append(o.drops, rows.Row{Table: RecordTable, Key: id})
 	}
 }
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -33,18 +33,22 @@
 	late   func(who string) time.Duration
 	took   time.Duration
 	floor  uint64 // history before this version is gone
+	// each is the time that a part takes for a transaction, one after another;
+	// free is when each part can take the next.
+	each time.Duration
+	free map[string]time.Time
 }
 
 func newMemStore() *memStore {
-	return &memStore{rows: map[string]rows.Row{}, changed: make(chan struct{}), took: 10 * time.Millisecond}
+	return &memStore{rows: map[string]rows.Row{}, free: map[string]time.Time{}, changed: make(chan struct{}), took: 10 * time.Millisecond}
 }
 
 // view returns the store as the node who sees it.
 func (m *memStore) view(who string) *rows.Store {
 	return &rows.Store{
 		Commit: func(ctx context.Context, t rows.Txn) (uint64, []rows.Row, error) { return m.commit(ctx, who, t) },
-		Range: func(ctx context.Context, table, from, to string) (rows.Page, error) {
-			return m.get(ctx, who, table, from, to)
+		Range: func(ctx context.Context, table, part, from, to string) (rows.Page, error) {
+			return m.get(ctx, who, table, part, from, to)
 		},
 		Feed: func(ctx context.Context, table string, after uint64, wait time.Duration) (rows.Page, error) {
 			return m.feed(ctx, who, table, after, wait)
@@ -56,6 +60,9 @@
 	if err := m.asked(ctx, who, "commit"); err != nil {
 		return 0, nil, err
 	}
+	if err := m.inTurn(ctx, t); err != nil {
+		return 0, nil, err
+	}
 	if m.late != nil {
 		if d := m.late(who); d > 0 {
 			time.AfterFunc(d, func() { m.apply(t) })
@@ -71,6 +78,41 @@
 	return v, present, err
 }
 
+// inTurn waits for the transactions of the same part before this one; if more
+// than a second of them wait it is refused, as the platform's store does.
+func (m *memStore) inTurn(ctx context.Context, t rows.Txn) error {
+	part := onePart(t)
+	m.mu.Lock()
+	now := time.Now()
+	at := m.free[part]
+	if at.Before(now) {
+		at = now
+	}
+	if at.Sub(now) > time.Second {
+		m.mu.Unlock()
+		return rows.ErrRefused
+	}
+	m.free[part] = at.Add(m.each)
+	m.mu.Unlock()
+	clock.Sleep(context.WithoutCancel(ctx), at.Add(m.each).Sub(now))
+	return nil
+}
+
+// onePart returns the part of a transaction's rows, which must be one.
+func onePart(t rows.Txn) string {
+	parts := map[string]bool{}
+	part := ""
+	for _, r := range slices.Concat(t.If, t.Put, t.Drop) {
+		parts[r.Part], part = true, r.Part
+	}
+	if len(parts) != 1 {
+		panic(fmt.Sprintf("a transaction covers %d parts", len(parts)))
+	}
+	return part
+}
+
+func nameOf(r rows.Row) string { return r.Table + " " + r.Part + " " + r.Key }
+
 func (m *memStore) asked(ctx context.Context, who, op string) error {
 	if m.refuse != nil {
 		if err := m.refuse(who, op); err != nil {
@@ -90,8 +132,8 @@
 	var present []rows.Row
 	ok := true
 	for _, c := range t.If {
-		r := m.rows[c.Table+" "+c.Key]
-		r.Table, r.Key = c.Table, c.Key
+		r := m.rows[nameOf(c)]
+		r.Table, r.Part, r.Key = c.Table, c.Part, c.Key
 		present = append(present, r)
 		ok = ok && r.Version == c.Version
 	}
@@ -101,11 +143,11 @@
 	m.version++
 	for _, p := range t.Put {
 		p.Version = m.version
-		m.rows[p.Table+" "+p.Key] = p
+		m.rows[nameOf(p)] = p
 		m.log = append(m.log, p)
 	}
 	for _, d := range t.Drop {
-		delete(m.rows, d.Table+" "+d.Key)
+		delete(m.rows, nameOf(d))
 		d.Version, d.Gone = m.version, true
 		m.log = append(m.log, d)
 	}
@@ -114,7 +156,7 @@
 	return m.version, nil, nil
 }
 
-func (m *memStore) get(ctx context.Context, who, table, from, to string) (rows.Page, error) {
+func (m *memStore) get(ctx context.Context, who, table, part, from, to string) (rows.Page, error) {
 	if err := m.asked(ctx, who, "get"); err != nil {
 		return rows.Page{}, err
 	}
@@ -122,7 +164,7 @@
 	defer m.mu.Unlock()
 	page := rows.Page{Version: m.version}
 	for _, r := range m.rows {
-		if r.Table == table && r.Key >= from && (to == "" || r.Key < to) {
+		if r.Table == table && r.Part == part && r.Key >= from && (to == "" || r.Key < to) {
 			page.Rows = append(page.Rows, r)
 		}
 	}
@@ -575,11 +617,11 @@
 	w.mu.Lock()
 	w.work[id] = work
 	w.mu.Unlock()
-	_, _, _ = w.store.apply(rows.Txn{Put: []rows.Row{{Table: WorkTable, Key: id, Value: value}}})
+	_, _, _ = w.store.apply(rows.Txn{Put: []rows.Row{{Table: WorkTable, Part: WorkPart(id), Key: id, Value: value}}})
 }
 
 func (w *world) cancel(id string) {
-	_, _, _ = w.store.apply(rows.Txn{Put: []rows.Row{{Table: WorkTable, Key: id + CancelSuffix, Value: []byte("{}")}}})
+	_, _, _ = w.store.apply(rows.Txn{Put: []rows.Row{{Table: WorkTable, Part: WorkPart(id), Key: id + CancelSuffix, Value: []byte("{}")}}})
 }
 
 // node is one node's part in the ownership, with a clock that can be paused.
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 var (
@@ -18,16 +21,18 @@
 )
 
 // Row is one value with the version of its last write; Version 0 is absent.
+// Rows of one part are written one transaction after another, those of several
+// parts at once.
 type Row struct {
-	Table, Key string
-	Value      []byte
-	Version    uint64
+	Table, Part, Key string
+	Value            []byte
+	Version          uint64
 	// Gone marks a removed row in a feed.
 	Gone bool
 }
 
 // Txn is one atomic transaction: all of it happens if each row in If still has
-// its Version, else nothing.
+// its Version, else nothing. All its rows lie in one part.
 type Txn struct {
 	If   []Row
 	Put  []Row
@@ -48,21 +53,53 @@
 	// ErrConflict (then the rows are the present ones of Txn.If), ErrRefused
 	// or ErrUnclear.
 	Commit func(ctx context.Context, txn Txn) (version uint64, present []Row, err error)
-	// Range reads up to the store's page limit of rows from key from on, and
-	// before key to; an empty to means no end.
-	Range func(ctx context.Context, table, from, to string) (Page, error)
-	// Feed returns the changes of a table after a version, waiting up to wait
-	// for the first; its error may wrap ErrCompacted.
+	// Range reads up to the store's page limit of a part's rows from key from
+	// on, and before key to; an empty to means no end.
+	Range func(ctx context.Context, table, part, from, to string) (Page, error)
+	// Feed returns the changes of all parts of a table after a version, waiting
+	// up to wait for the first; its error may wrap ErrCompacted.
 	Feed func(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
 }
 
-// All reads a whole table; Version is that of the first page, so that a feed
-// from there misses nothing.
-func (s *Store) All(ctx context.Context, table string) (Page, error) {
+// readsAtOnce bounds the reads of parts on their way, each of which takes a
+// connection.
+const readsAtOnce = 8
+
+// Parts reads several parts of a table at once; Version is the oldest at which
+// one was read, so that a feed from there misses nothing.
+func (s *Store) Parts(ctx context.Context, table string, parts []string) (Page, error) {
+	pages, errs := make([]Page, len(parts)), make([]error, len(parts))
+	slots := make(chan struct{}, readsAtOnce)
+	var wg sync.WaitGroup
+	for i, part := range parts {
+		slots <- struct{}{}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			pages[i], errs[i] = s.All(ctx, table, part)
+			<-slots
+		}()
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return Page{}, err
+	}
+	return lo.Reduce(pages, func(all Page, p Page, i int) Page {
+		if i == 0 || p.Version < all.Version {
+			all.Version = p.Version
+		}
+		all.Rows = append(all.Rows, p.Rows...)
+		return all
+	}, Page{}), nil
+}
+
+// All reads a whole part of a table; Version is that of the first page, so that
+// a feed from there misses nothing.
+func (s *Store) All(ctx context.Context, table, part string) (Page, error) {
 	var all Page
 	from := ""
 	for {
-		p, err := s.Range(ctx, table, from, "")
+		p, err := s.Range(ctx, table, part, from, "")
 		if err != nil {
 			return all, err
 		}
@@ -78,13 +115,13 @@
 }
 
 // Get reads one row; a missing one has Version 0.
-func (s *Store) Get(ctx context.Context, table, key string) (Row, error) {
-	p, err := s.Range(ctx, table, key, key+"\x00")
+func (s *Store) Get(ctx context.Context, table, part, key string) (Row, error) {
+	p, err := s.Range(ctx, table, part, key, key+"\x00")
 	if err != nil {
 		return Row{}, err
 	}
 	if len(p.Rows) == 0 {
-		return Row{Table: table, Key: key}, nil
+		return Row{Table: table, Part: part, Key: key}, nil
 	}
 	return p.Rows[0], nil
 }
