Replace an owner that its store turns away in time, and leave the work to nodes that can have it

A small node took over, because it looked before the larger ones; it then handed the work to "larger" nodes that the store turned away as well, and another small node took it: 1.4 s more without decisions.

Ruled out: the read of the row (prompt), the rebuild (0.7 s on a small node).

Change: the owner's word of the age of its last transaction counts; a node without the store or a fresh plan does not count as a larger one; the owner tells what larger nodes asked lately, and smaller ones give those one look's time.

Two tests of internal/edge were not the same in every run: a map without a mutex, and a read of the plan at the same instant as a call; both mended.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -166,8 +166,26 @@
 type pair struct {
 	shop        *shop
 	owner, edge *Node
-	plans       map[string]*model.Plan
 	reach       bool
+
+	mu sync.Mutex
+	// plans is guarded by mu.
+	plans map[string]*model.Plan
+}
+
+// setPlan has a node read a plan from now on.
+func (p *pair) setPlan(plan *model.Plan, nodes ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range nodes {
+		p.plans[n] = plan
+	}
+}
+
+func (p *pair) plan(node string) *model.Plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.plans[node]
 }
 
 func begin(t *testing.T) *pair {
@@ -186,7 +204,7 @@
 			if _, err := n.Rows.Feed(ctx, "", 0, wait); err != nil {
 				return Change{}, err
 			}
-			return Change{Plan: p.plans[name], Version: 1}, nil
+			return Change{Plan: p.plan(name), Version: 1}, nil
 		}
 		n.Dial = func(addr string) *peer.Client {
 			return &peer.Client{Addr: addr, Invoke: func(ctx context.Context, addr, method string, in, out any) error {
@@ -309,6 +327,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				p := begin(t)
+				// Between two reads of the plan: one that is refused at the same
+				// instant may come first and make the node refuse as not ready.
+				time.Sleep(planWait / 3)
 				p.reach = false
 				p.shop.cut(c.block)
 				_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
@@ -387,6 +408,24 @@
 	})
 }
 
+// A larger node that the store turns away could not own the work, so it must not
+// be handed over.
+func TestWorkStaysWhereTheLargerNodeHasNoStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := begin(t)
+		p.shop.cut(refused)
+		time.Sleep(5 * time.Second)
+		p.edge.Lead.Cores = 4
+		time.Sleep(10 * time.Second)
+		is.True(p.owner.Lead.Own() != nil)
+		is.Equal(p.owner.Lead.Pulse(0).Epoch, int64(1))
+		p.shop.cut(nil)
+		time.Sleep(10 * time.Second)
+		is.True(p.edge.Lead.Own() != nil) // with the store back it owns the work
+	})
+}
+
 func TestStaleNodeHonoursNoKeyThatWasTakenAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -394,7 +433,7 @@
 		p.shop.cut(unanswered)
 		revoked := basePlan
 		revoked.Version, revoked.Spaces = 9, nil
-		p.plans["owner"] = &revoked
+		p.setPlan(&revoked, "owner")
 		time.Sleep(5 * time.Second)
 		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
 		is.True(errors.Is(err, ErrKey)) // by the owner's plan
@@ -407,7 +446,7 @@
 		p := begin(t)
 		older := basePlan
 		older.Version, older.Queues = 4, nil
-		p.plans["edge"] = &older
+		p.setPlan(&older, "edge")
 		time.Sleep(5 * time.Second)
 		is.Equal(p.edge.Plan().Version, uint64(5))
 		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
@@ -422,7 +461,7 @@
 		advised := basePlan
 		advised.Version = 6
 		advised.Queues = []model.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMs: 3000, Advice: &model.Advice{}}}
-		p.plans["edge"], p.plans["owner"] = &advised, &advised
+		p.setPlan(&advised, "edge", "owner")
 		time.Sleep(3 * time.Second)
 		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
 		is.True(errors.Is(err, ErrNotReady))
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -225,7 +225,8 @@
 func (n *Node) Draining() bool { return n.draining.Load() }
 
 type pulseIn struct {
-	From  string  `json:"from"`
+	From string `json:"from"`
+	// Cores is 0 for a node that could not own the work now.
 	Cores float64 `json:"cores"`
 }
 
@@ -244,7 +245,11 @@
 // Ask asks the node at addr how it is; it is the Ask of a lead.Lead.
 func (n *Node) Ask(ctx context.Context, addr string) (lead.Pulse, error) {
 	var out lead.Pulse
-	err := n.call(ctx, addr, "Pulse", &pulseIn{From: n.Name, Cores: n.Lead.Cores}, &out)
+	in := pulseIn{From: n.Name}
+	if !n.storeBad.Load() && n.fresh() == nil {
+		in.Cores = n.Lead.Cores // without the store it could not own the work
+	}
+	err := n.call(ctx, addr, "Pulse", &in, &out)
 	return out, err
 }
 
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -89,6 +89,9 @@
 	// muchLarger is from how many times an owner's cores another node should
 	// own the work instead.
 	muchLarger = 1.5
+	// othersFor is how long the owner's word of other nodes counts: longer than
+	// it takes to find out that the owner is gone.
+	othersFor = 5 * time.Second
 	// settleTime is how long an owner stays before it hands over to a larger
 	// node, and how long the word of one counts.
 	settleTime = 3 * time.Second
@@ -120,6 +123,8 @@
 	Version uint64 `json:"version,omitempty"`
 	// Addr is where the answering node believes the owner to be.
 	Addr string `json:"addr,omitempty"`
+	// Most is the most cores of another node that the owner has heard of lately.
+	Most float64 `json:"most,omitempty"`
 }
 
 // Bounds are the platform's figures that the owner relies on.
@@ -160,21 +165,27 @@
 	nonce     uint64
 	resigning atomic.Bool
 	addr      atomic.Pointer[string]
-	// larger is when a node with clearly more cores was last heard of, in ns of
-	// the steady clock.
-	larger atomic.Int64
 
 	mu sync.Mutex
 	// owner is guarded by mu and nil while another node owns the work.
 	owner *Owner
+	// most is guarded by mu: the most cores of a node that asked lately, heard
+	// at mostAt.
+	most   float64
+	mostAt time.Duration
 
 	// The fields below belong to Run's goroutine.
 	seen    rows.Row // the right row as last read
 	seenAt  time.Duration
 	seenNow bool
-	// told is the version of its row that the owner told last, at toldAt.
+	// told is the version of its row that the owner told last; it has stood
+	// since toldAt.
 	told   uint64
 	toldAt time.Duration
+	// others is the most cores of a node besides the owner, as the owner told
+	// at othersAt.
+	others   float64
+	othersAt time.Duration
 	// yielded is when the work was handed to a larger node, which then has
 	// settleTime to take it.
 	yielded time.Duration
@@ -220,16 +231,32 @@
 	return l.owner
 }
 
-// Pulse tells a node with the given cores how this one stands.
+// Pulse tells a node how this one stands; cores are those of the asking node, or
+// 0 if it could not own the work now.
 func (l *Lead) Pulse(cores float64) Pulse {
-	if cores >= muchLarger*l.Cores && l.Cores > 0 {
-		l.larger.Store(int64(l.now()))
-	}
+	most := l.hear(cores)
 	o := l.Own()
 	if o == nil {
 		return Pulse{Addr: l.OwnerAddr()}
 	}
-	return Pulse{Owner: true, Epoch: o.epoch, AgeMs: o.age().Milliseconds(), Version: o.committed.Load(), Addr: l.Addr}
+	return Pulse{
+		Owner: true, Epoch: o.epoch, AgeMs: o.age().Milliseconds(), Version: o.committed.Load(), Addr: l.Addr, Most: most,
+	}
+}
+
+// hear notes the cores of a node that asked and returns the most that one had
+// within settleTime.
+func (l *Lead) hear(cores float64) float64 {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cores > 0 && (cores >= l.most || now-l.mostAt > settleTime) {
+		l.most, l.mostAt = cores, now
+	}
+	if now-l.mostAt > settleTime {
+		return 0
+	}
+	return l.most
 }
 
 // Run watches the ownership and takes it when it is free, until ctx ends; an
@@ -269,9 +296,7 @@
 // yield hands the work over if a node with clearly more cores is there: an
 // owner that can't keep up holds up the whole fleet.
 func (l *Lead) yield(ctx context.Context, o *Owner) {
-	now := l.now()
-	heard := time.Duration(l.larger.Load())
-	if heard == 0 || now-heard > settleTime || now-o.since < settleTime || !o.rebuilt.Load() {
+	if l.hear(0) < muchLarger*l.Cores || l.Cores == 0 || l.now()-o.since < settleTime || !o.rebuilt.Load() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -302,7 +327,8 @@
 		return false, false
 	}
 	if p.Owner {
-		l.told, l.toldAt = p.Version, asked
+		l.told, l.toldAt = p.Version, asked-time.Duration(p.AgeMs)*time.Millisecond
+		l.others, l.othersAt = p.Most, asked
 	}
 	return p.Owner && p.AgeMs < staleAfter.Milliseconds(), p.Owner
 }
@@ -328,7 +354,7 @@
 	if !l.seenNow || row.Version != l.seen.Version {
 		l.seen, l.seenAt, l.seenNow = row, l.now(), true
 		if row.Version != 0 && row.Version == l.told {
-			l.seenAt = l.toldAt // the owner's own word is older than this look
+			l.seenAt = l.toldAt // the owner has told since when it stands
 		}
 		if r.Owner != "" && !r.Released {
 			l.setAddr(r.Addr)
@@ -343,10 +369,21 @@
 	if !free || l.resigning.Load() || l.yielded != 0 && r.Released && l.now()-l.yielded < settleTime {
 		return
 	}
-	clock.Sleep(ctx, rand.N(takeJitter)+time.Duration(float64(takeStep)/max(l.Cores, minCores)))
+	clock.Sleep(ctx, l.takeDelay())
 	l.take(ctx, row, r)
 }
 
+// takeDelay is how long the node waits before it takes a free row: the larger
+// ones go first, and a node that knows of a much larger one gives it the time to
+// look, too.
+func (l *Lead) takeDelay() time.Duration {
+	d := rand.N(takeJitter) + time.Duration(float64(takeStep)/max(l.Cores, minCores))
+	if l.others >= muchLarger*l.Cores && l.now()-l.othersAt < othersFor {
+		d += watchEvery
+	}
+	return d
+}
+
 // take rewrites the row with the next epoch, on condition that it has not
 // changed since it was read.
 func (l *Lead) take(ctx context.Context, row rows.Row, before right) {
