Take VMs into upkeep in waves

Lasting work gave way to urgent work without regard to how much of it may be away.

Ruled out: ordering VMs down at once (what runs there ends and loses what it did since its checkpoint); counting the upkeep itself into the term (a trace shows that it must begin within it).

Change: a planner closes the workers on which least would be lost, lets runs go on for the share of the term, has the rest stopped with their checkpoints, and takes a VM down once nothing runs there. The order is recorded first and counts as down for every later owner, who waits for the users' turn before an order for a VM that another owner has ordered. Lasting tasks are stopped only as far as they may be missed, for upkeep and for owed work.

A VM's worker was open between the order and the upkeep, members of a gang started there and ended with it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,9 @@
 	TaskStray      ID = 324
 	StartFailed    ID = 325
 	Advised        ID = 326
+	WaveAsked      ID = 330
+	WaveTold       ID = 331
+	UpkeepOrdered  ID = 332
 	Placed         ID = 401
 	Evicted        ID = 402
 	Held           ID = 403
@@ -88,6 +91,7 @@
 	WorkerSilent   ID = 713
 	BadVM          ID = 714
 	WorkerReborn   ID = 715
+	VMsListed      ID = 716
 	ObjectDown     ID = 720
 )
 
@@ -131,6 +135,9 @@
 	{TaskStray, "task-stray", zerolog.WarnLevel, "A worker has a run that the records don't know; it is stopped."},
 	{StartFailed, "start-failed", zerolog.WarnLevel, "The order to start a run failed; the line tells whether it may still be carried out."},
 	{Advised, "advised", zerolog.InfoLevel, "The adviser was asked which workers may run a step; the line gives how many it allows, or the error."},
+	{WaveAsked, "wave-asked", zerolog.InfoLevel, "An operator asks for the upkeep of some VMs; the line gives how many, how many at once, and the time."},
+	{WaveTold, "wave-told", zerolog.InfoLevel, "The operator is told that a wave goes on or is completed."},
+	{UpkeepOrdered, "upkeep-ordered", zerolog.InfoLevel, "The platform was told to take a VM into upkeep; the line gives the error if it did not."},
 	{Placed, "placed", zerolog.InfoLevel, "A placement was decided; the line gives mode, workers and reason."},
 	{Evicted, "evicted", zerolog.InfoLevel, "A job is stopped to give its places back; the line gives the reason."},
 	{Held, "held", zerolog.InfoLevel, "Places are held for a blocked gang."},
@@ -161,6 +168,7 @@
 	{WorkerSilent, "worker-silent", zerolog.WarnLevel, "Renewals to a worker fail."},
 	{BadVM, "bad-vm-entry", zerolog.WarnLevel, "An entry of the VM list failed its checks and is ignored."},
 	{WorkerReborn, "worker-reborn", zerolog.WarnLevel, "A worker has restarted under its id and knows nothing of before."},
+	{VMsListed, "vms-listed", zerolog.WarnLevel, "The platform's list of VMs can no longer be read, or again; no VM goes into upkeep meanwhile."},
 	{ObjectDown, "object-store-down", zerolog.WarnLevel, "An answer could not be written to the object store and is kept by its worker."},
 }
 
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -11,6 +11,7 @@
 	"greengageline/internal/event"
 	"greengageline/internal/rows"
 	"greengageline/internal/sched"
+	"greengageline/internal/upkeep"
 )
 
 const (
@@ -26,6 +27,7 @@
 	txn    rows.Txn
 	right  right
 	starts []sched.Order
+	begins []upkeep.Step
 	acks   map[*session]int64
 	finals map[string]sched.State
 	sent   time.Duration
@@ -38,7 +40,8 @@
 	if o.flying {
 		return
 	}
-	if len(o.dirty) == 0 && len(o.drops) == 0 && len(o.waiting) == 0 && o.age() < renewEvery && !o.ackable() {
+	if len(o.dirty) == 0 && len(o.drops) == 0 && len(o.waiting) == 0 && len(o.waves.dirty) == 0 && len(o.waves.begins) == 0 &&
+		o.age() < renewEvery && !o.ackable() {
 		return
 	}
 	f := o.flight()
@@ -64,6 +67,7 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
+	o.putWaves(f)
 	size := 0
 	for _, id := range ids {
 		j := o.engine.Job(id)
@@ -194,6 +198,9 @@
 	for _, order := range f.starts {
 		o.sendStart(order)
 	}
+	for _, s := range f.begins {
+		o.begin(s)
+	}
 	if f.last {
 		o.cancel()
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -18,6 +18,7 @@
 	"greengageline/internal/orders"
 	"greengageline/internal/rows"
 	"greengageline/internal/sched"
+	"greengageline/internal/upkeep"
 	"greengageline/pkg/model"
 )
 
@@ -139,14 +140,18 @@
 	Factor float64
 	// GangWait is how long members of a gang wait for the others.
 	GangWait time.Duration
+	// Turn is the least time between the orders of two owners for one VM.
+	Turn time.Duration
 }
 
 // Lead is one node's part in the ownership; set the exported fields, then Run.
 type Lead struct {
-	Node   string
-	Addr   string
-	Rows   *rows.Store
-	Fleet  *orders.Fleet
+	Node  string
+	Addr  string
+	Rows  *rows.Store
+	Fleet *orders.Fleet
+	// Site is how VMs are taken into upkeep; nil means never.
+	Site   *upkeep.Site
 	Bounds Bounds
 	Log    *event.Log
 	Count  *Counters
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -84,6 +84,7 @@
 	purgeAt  time.Duration
 	purging  bool // rows of ended jobs are being removed
 	plan     uint64
+	waves    waves
 	listOK   bool
 	backAt   time.Duration // when the list was readable again
 	rebuilt  atomic.Bool
@@ -178,6 +179,9 @@
 		}
 		o.spawn(func() { o.follow(after) })
 		o.spawn(o.list)
+		if o.lead.Site != nil {
+			o.spawn(o.watchWaves)
+		}
 		o.loop()
 	})
 }
@@ -222,6 +226,7 @@
 		s.check()
 	}
 	o.purge()
+	o.tend()
 	o.passDue = true
 }
 
@@ -268,6 +273,9 @@
 	if !ok {
 		return 0, false
 	}
+	if !o.restoreWaves() {
+		return 0, false
+	}
 	stored := make(map[string][]byte, len(records.Rows))
 	for _, r := range records.Rows {
 		stored[r.Key] = r.Value
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -353,7 +353,7 @@
 func (o *Owner) setWorker(s *session) {
 	w := s.entry.Worker
 	w.Silent = s.silent || s.entry.Addr == ""
-	w.Leaving = w.Leaving || !s.listed
+	w.Leaving = w.Leaving || !s.listed || o.waves.closed[s.entry.ID]
 	o.engine.SetWorker(w)
 }
 
--- a/internal/sched/advise.go
+++ b/internal/sched/advise.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Question asks the adviser which workers may run the tasks of a step; Task of
@@ -90,40 +92,22 @@
 // to be allowed are asked about again only when they have room, or could be
 // given some, as each ticket soon runs out.
 func (e *Engine) askAbout(g *group, now Moment) []string {
-	racks := slices.DeleteFunc(slices.Clone(e.racks), func(r *rack) bool { return r.pool != g.queue.Pool })
-	need := g.step.Need()
-	slices.SortStableFunc(racks, func(a, b *rack) int {
-		return cmp.Or(
-			-compareBools(a.name == g.step.DataRack, b.name == g.step.DataRack),
-			-cmp.Compare(a.free.Times(need, len(g.waiting)), b.free.Times(need, len(g.waiting))),
-		)
-	})
-	proven := g.retry()
 	var fit, full []string
 	fits, unknown := 0, 0
-	for _, r := range racks {
-		for _, w := range r.workers {
-			if !g.suits(w, proven, now) || g.batch.advice.refused(w.ID) {
-				continue
-			}
-			n := w.free().Times(need, g.quota(w))
-			if g.batch.advice.valid(w.ID, now) {
-				fits += n
-				continue
-			}
-			if g.batch.advice.ticket(w.ID) == "" {
-				unknown++
-			}
-			switch {
-			case n > 0:
-				if fits >= askSpare*len(g.waiting) && len(fit) >= askLeast {
-					continue
-				}
-				fits += n
-				fit = append(fit, w.ID)
-			case g.queue.Priority == 0 || g.batch.advice.ticket(w.ID) == "":
-				full = append(full, w.ID)
-			}
+	for _, w := range e.askOrder(g, now) {
+		n := w.free().Times(g.step.Need(), g.quota(w))
+		allowed := g.batch.advice.ticket(w.ID) != ""
+		if !allowed {
+			unknown++
+		}
+		switch {
+		case g.batch.advice.valid(w.ID, now):
+			fits += n
+		case n > 0 && (fits < askSpare*len(g.waiting) || len(fit) < askLeast):
+			fits += n
+			fit = append(fit, w.ID)
+		case n <= 0 && (g.queue.Priority == 0 || !allowed):
+			full = append(full, w.ID)
 		}
 	}
 	if g.step.Gang && fits < len(g.waiting) && unknown == 0 && g.queue.Priority > 0 {
@@ -135,6 +119,25 @@
 	return fit[:min(len(fit), askMost)]
 }
 
+// askOrder lists the workers that suit the group and are not known to be
+// refused, those on the rack of its data and on racks with most room first.
+func (e *Engine) askOrder(g *group, now Moment) []*worker {
+	racks := lo.Filter(e.racks, func(r *rack, _ int) bool { return r.pool == g.queue.Pool })
+	room := func(r *rack) int { return r.free.Times(g.step.Need(), len(g.waiting)) }
+	slices.SortStableFunc(racks, func(a, b *rack) int {
+		return cmp.Or(
+			-compareBools(a.name == g.step.DataRack, b.name == g.step.DataRack),
+			-cmp.Compare(room(a), room(b)),
+		)
+	})
+	proven := g.retry()
+	return lo.FlatMap(racks, func(r *rack, _ int) []*worker {
+		return lo.Filter(r.workers, func(w *worker, _ int) bool {
+			return g.suits(w, proven, now) && !g.batch.advice.refused(w.ID)
+		})
+	})
+}
+
 func compareBools(a, b bool) int {
 	switch {
 	case a == b:
--- /dev/null
+++ b/internal/sched/away_test.go
@@ -0,0 +1,88 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"greengageline/pkg/model"
+)
+
+// serving is a job of lasting tasks, all at work.
+func serving(e *Engine, id string, tasks, mayMiss int) *Job {
+	j := add(e, id, "bulk", model.Step{
+		Tasks: tasks, Lasts: true, MayMiss: mayMiss, Each: model.Room{Millicores: 1000, MemoryMB: 1000, Accelerators: 4},
+	})
+	e.Pass(at(0))
+	for _, o := range starts(e.TakeOrders()) {
+		e.Confirm(o.Task, o.Run, wholePercent, "", at(0))
+	}
+	return j
+}
+
+func stops(orders []Order) []Order {
+	var out []Order
+	for _, o := range orders {
+		if o.Stop {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// Urgent work that is owed room may stop lasting tasks only as far as their
+// caller can miss them.
+func TestLastingWorkGivesWayOnlyAsFarAsItMayBeMissed(t *testing.T) {
+	// An urgent task needs a whole worker, which holds two lasting ones.
+	cases := map[string]struct{ mayMiss, want int }{
+		"none may be away": {0, 0}, "one may be away": {1, 0}, "three may be away": {3, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := pool(2)
+			j := serving(e, "s", 4, c.mayMiss)
+			is.Equal(j.Batches[0][0].away(), 0)
+			add(e, "u", "urgent", members(1, 8))
+			e.Pass(at(time.Second))
+			is.Equal(len(stops(e.TakeOrders())), c.want)
+		})
+	}
+}
+
+func TestWorkerIsEmptiedWithoutMoreLastingTasksAwayThanAllowed(t *testing.T) {
+	for _, mayMiss := range []int{0, 1, 2} {
+		t.Run(fmt.Sprint(mayMiss), func(t *testing.T) {
+			is := is.New(t)
+			e := pool(3)
+			j := serving(e, "s", 4, mayMiss)
+			from := j.Batches[0][0].Tasks[0].Worker
+			is.Equal(e.Load(from, at(0)).Runs, 2)
+			w := e.workers[from].Worker
+			w.Leaving = true
+			e.SetWorker(w)
+			now := time.Duration(0)
+			for round := range 10 {
+				if !e.Busy(from) {
+					break
+				}
+				now += time.Second
+				e.Evacuate(from, "test")
+				is.True(j.Batches[0][0].away() <= max(1, mayMiss))
+				for _, o := range stops(e.TakeOrders()) {
+					e.End(o.Task, o.Run, Stopped, "", at(now))
+				}
+				e.Pass(at(now))
+				for _, o := range starts(e.TakeOrders()) {
+					is.True(o.Worker != from)
+					e.Evacuate(from, "test") // none while one begins elsewhere
+					is.True(j.Batches[0][0].away() <= max(1, mayMiss))
+					e.Confirm(o.Task, o.Run, wholePercent, "", at(now))
+				}
+				is.True(round < 9)
+			}
+		})
+	}
+}
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -77,8 +77,9 @@
 // each task, in order.
 func (e *Engine) cheapest(g *group, ws []*worker, owed map[*Job]bool, now Moment) ([]*option, float64) {
 	options := make([]*option, 0, len(ws))
+	lasting := map[*Batch]int{}
 	for _, w := range ws {
-		if p := e.option(g, w, owed, now); p != nil {
+		if p := e.option(g, w, owed, lasting, now); p != nil {
 			options = append(options, p)
 		}
 	}
@@ -128,7 +129,9 @@
 	}
 }
 
-func (e *Engine) option(g *group, w *worker, owed map[*Job]bool, now Moment) *option {
+// option lists what could be made free on a worker; lasting counts the tasks of
+// lasting steps that the options so far may stop.
+func (e *Engine) option(g *group, w *worker, owed map[*Job]bool, lasting map[*Batch]int, now Moment) *option {
 	p := &option{w: w, room: w.free(), quota: g.quota(w)}
 	for ref, t := range w.tasks {
 		j := e.jobs[ref.Job]
@@ -138,7 +141,7 @@
 		step := &j.Work.Steps[ref.Step]
 		v := victim{ref: ref, task: t, need: step.Need()}
 		if !t.Stopping {
-			if j.Open() && !e.yields(j, step, g, owed) {
+			if j.Open() && !e.yields(j, g, owed) {
 				continue
 			}
 			v.cost = loss(t, step, now)
@@ -154,18 +157,28 @@
 		}
 		return compareRefs(a.ref, b.ref)
 	})
+	p.victims = slices.DeleteFunc(p.victims, func(v victim) bool { return !e.missable(v, lasting) })
 	return p
 }
 
+// missable reports whether a victim may be away besides those that lasting
+// counts, and counts it.
+func (e *Engine) missable(v victim, lasting map[*Batch]int) bool {
+	j, b, _ := e.find(v.ref)
+	step := &j.Work.Steps[v.ref.Step]
+	if !step.Lasts || v.task.Stopping || !j.Open() {
+		return true
+	}
+	lasting[b]++
+	return lasting[b] <= b.spareTasks(step)
+}
+
 func compareRefs(a, b Ref) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Time, b.Time), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task))
 }
 
 // yields reports whether a job's run must give way to the group.
-func (e *Engine) yields(j *Job, step *model.Step, g *group, owed map[*Job]bool) bool {
-	if step.Lasts && step.MayMiss == 0 {
-		return false
-	}
+func (e *Engine) yields(j *Job, g *group, owed map[*Job]bool) bool {
 	p := e.queue(j).Priority
 	return p > 0 || g.owed && !owed[j] && j != g.job
 }
