Start lasting work again however full the pool is, and let no bounded job keep others from room

Cause: a job that may put only so many tasks on a worker, and had reached that bound, marked its shape as failed for the pass, so that no job of the same shape was tried on the room that was left. Lasting work has no estimate and so was held to be too late after three seconds; then only idle room was for it. Its failures while at work, which may come at any time, put workers into quarantine, and a task avoided the worker it had failed on even if that was the only one with room.

Ruled out: room kept for urgent work (lasting work is exempt).

Change: groups with a bound on each worker, with doubts about workers, or with an adviser fail for themselves alone; lasting work is never too late, blames no worker when it fails at work, and avoids none. Each with a test that was red.

--- a/internal/sched/away_test.go
+++ b/internal/sched/away_test.go
@@ -86,3 +86,60 @@
 		})
 	}
 }
+
+// Nobody waits for the end of lasting work, so that it is never too late for it:
+// a task that ended is started again however full the pool is.
+func TestLastingTaskIsStartedAgainOnAFullPool(t *testing.T) {
+	is := is.New(t)
+	e := pool(4)
+	serving(e, "s", 2, 1)
+	add(e, "bulk", "bulk", members(3, 8)) // 28 of 32 accelerators are in use now
+	e.Pass(at(0))
+	e.TakeOrders()
+	later := time.Minute
+	ref := Ref{Job: "s"}
+	run, _, placed := e.Present(ref)
+	is.True(placed)
+	e.End(ref, run, Failed, "", at(later)) // its worker is the only one with room
+	e.Pass(at(later))
+	got := starts(e.TakeOrders())
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Task, ref)
+}
+
+func TestLastingTasksThatFailAtWorkBlameNoWorker(t *testing.T) {
+	for name, percent := range map[string]int{"at work": wholePercent, "at its start": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := pool(8)
+			jobs := map[string]*Job{}
+			for i := range strikeLimit {
+				id := fmt.Sprint("s", i)
+				jobs[id] = serving(e, id, 1, 0) // the fullest first, so that both meet
+			}
+			for id, j := range jobs {
+				task := &j.Batches[0][0].Tasks[0]
+				is.Equal(task.Worker, "a0")
+				task.percent = percent
+				e.End(Ref{Job: id}, task.Run, Failed, "", at(0))
+			}
+			is.Equal(e.workers["a0"].badUntil > 0, percent == 0)
+		})
+	}
+}
+
+// A job that may not put more of its tasks on the only worker with room keeps no
+// other job from it.
+func TestJobAtItsBoundOfAWorkerKeepsNoOtherFromIt(t *testing.T) {
+	is := is.New(t)
+	e := pool(1)
+	spread := model.Step{Tasks: 2, PerWorker: 1, EstimateMs: 1000, Each: model.Room{Millicores: 1000, MemoryMB: 1000, Accelerators: 1}}
+	add(e, "a", "bulk", spread)
+	add(e, "b", "bulk", spread)
+	e.Pass(at(0))
+	jobs := map[string]int{}
+	for _, o := range starts(e.TakeOrders()) {
+		jobs[o.Task.Job]++
+	}
+	is.Equal(jobs, map[string]int{"a": 1, "b": 1})
+}
--- a/internal/sched/end.go
+++ b/internal/sched/end.go
@@ -37,7 +37,7 @@
 	}
 	step := &j.Work.Steps[ref.Step]
 	at := t.Worker
-	began := t.Live
+	began, worked := t.Live, t.percent >= wholePercent
 	stopping := t.Stopping
 	e.vacate(ref, t, step)
 	e.changed[ref.Job] = true
@@ -50,7 +50,11 @@
 	if cause == Done || cause == Failed {
 		j.Begun = true
 	}
-	e.judge(at, ref.Job, cause, now)
+	if !step.Lasts || !worked {
+		// A lasting task that was at work may fail at any time: that says
+		// nothing of its worker.
+		e.judge(at, ref.Job, cause, now)
+	}
 	if cause == Done && !step.Lasts {
 		e.done(ref, j, b, t, now)
 		return true
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -135,6 +135,9 @@
 // band tells what the job can still be worth, and the part of its goal that has
 // passed.
 func (j *Job) band(k int, q model.Queue, now Moment) (band, float64) {
+	if j.lasts() {
+		return inTime, 0 // nobody waits for its end
+	}
 	chain := float64(j.Work.ChainMs())
 	goal := q.Stretch*chain + float64(q.AimMs)
 	if goal <= 0 {
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -103,8 +103,9 @@
 	oneRack, owed     bool
 	retry             bool
 	priority          int
-	// advised is set for a group of which an adviser has an opinion of its own.
-	advised *Batch
+	// only is set for a group that may fail where others of its shape would not:
+	// it has a bound on each worker, workers that it avoids, or an adviser.
+	only *Batch
 }
 
 func (g *group) shape() shape {
@@ -112,18 +113,24 @@
 	if g.step.Gang {
 		n = len(g.waiting)
 	}
-	var advised *Batch
-	if g.queue.Advice != nil {
-		advised = g.batch
+	var only *Batch
+	if g.queue.Advice != nil || g.step.PerWorker > 0 || g.retry() || g.batch.short {
+		only = g.batch
 	}
 	return shape{
-		advised: advised, pool: g.queue.Pool, label: g.step.Label, rack: g.step.DataRack, need: g.step.Need(), tasks: n,
+		only: only, pool: g.queue.Pool, label: g.step.Label, rack: g.step.DataRack, need: g.step.Need(), tasks: n,
 		perWorker: g.step.PerWorker, oneRack: g.step.OneRack, owed: g.owed, retry: g.retry(),
 		priority: g.queue.Priority,
 	}
 }
 
+// retry reports whether tasks of the group have failed, so that they go only to
+// workers without a doubt. Lasting tasks may fail at any time and must be at
+// work; they just go to such workers last.
 func (g *group) retry() bool {
+	if g.step.Lasts {
+		return false
+	}
 	return g.batch.Failures > 0 || slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].Failures > 0 })
 }
 
