Leave VMs open that can't be emptied, and stop lasting work only when its VM may go down

Cause: workers were closed for a wave although more lasting tasks ran there than may be away, so that they never got empty and their free room was of use to nobody; and lasting work, which does not end by itself, was waited for.

Ruled out: closing fewer VMs at a time (idle and ordinary ones need the time).

Change: the engine tells whether a worker can be emptied now; one that can't stays open. A VM with nothing but lasting work is closed when it may go down, and its runs are stopped at once. Tests for both.

--- a/internal/sched/away_test.go
+++ b/internal/sched/away_test.go
@@ -52,6 +52,27 @@
 	}
 }
 
+// A worker can be emptied if its lasting tasks may be away or have room elsewhere.
+func TestLoadTellsWhetherAWorkerCanBeEmptied(t *testing.T) {
+	cases := map[string]struct {
+		workers, mayMiss int
+		bound            bool
+	}{
+		"room elsewhere":            {3, 0, false},
+		"none, and none may miss":   {1, 0, true},
+		"none, and too few may":     {1, 1, true},
+		"none, and all of them may": {1, 2, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := pool(c.workers)
+			serving(e, "s", 2, c.mayMiss)
+			is.Equal(e.Load("a0", at(0)).Bound, c.bound)
+		})
+	}
+}
+
 func TestWorkerIsEmptiedWithoutMoreLastingTasksAwayThanAllowed(t *testing.T) {
 	for _, mayMiss := range []int{0, 1, 2} {
 		t.Run(fmt.Sprint(mayMiss), func(t *testing.T) {
--- a/internal/upkeep/plan.go
+++ b/internal/upkeep/plan.go
@@ -262,7 +262,9 @@
 			}
 		case Waiting:
 			left++
-			if v := p.vms[id]; v.Up && now.Steady >= g.next {
+			// One that can't be emptied now stays open, or its free room would
+			// be of use to nobody.
+			if v := p.vms[id]; v.Up && now.Steady >= g.next && !load(v.Worker).Bound {
 				waiting = append(waiting, v)
 				continue
 			}
@@ -275,7 +277,7 @@
 		p.changed[w.ask.Number] = true
 		return out
 	}
-	p.choose(w, waiting, load, now)
+	p.choose(w, waiting, w.ask.AtOnce-down, load, now)
 	return append(out, p.empty(w, waiting, w.ask.AtOnce-down, load, now)...)
 }
 
@@ -306,8 +308,10 @@
 	return out
 }
 
-// choose closes VMs, those on which least would be lost first.
-func (p *Planner) choose(w *wave, waiting []VM, load func(string) sched.Load, now sched.Moment) {
+// choose closes VMs, those on which least would be lost first. Lasting work does
+// not end while it is waited for: a VM with nothing else is closed only when it
+// may go down, and its runs are stopped at once.
+func (p *Planner) choose(w *wave, waiting []VM, free int, load func(string) sched.Load, now sched.Moment) {
 	slices.SortStableFunc(waiting, func(a, b VM) int {
 		_, closingA := w.closing[a.ID]
 		_, closingB := w.closing[b.ID]
@@ -325,8 +329,14 @@
 		if len(w.closing) >= closeAhead*w.ask.AtOnce {
 			return
 		}
-		if _, closing := w.closing[v.ID]; !closing {
+		if _, closing := w.closing[v.ID]; closing {
+			continue
+		}
+		switch l := load(v.Worker); {
+		case l.Lasting == 0 || l.Lasting < l.Runs:
 			w.closing[v.ID] = until
+		case len(w.closing) < free:
+			w.closing[v.ID] = now.Steady
 		}
 	}
 }
--- a/internal/upkeep/plan_test.go
+++ b/internal/upkeep/plan_test.go
@@ -253,6 +253,44 @@
 	is.Equal(begins, 1)
 }
 
+// Lasting work is stopped at once, on no more VMs than may be down.
+func TestVMWithLastingWorkIsClosedOnlyWhenItMayGoDown(t *testing.T) {
+	is := is.New(t)
+	y := newYard(t, 4, 1, 60*time.Second)
+	y.p.See(y.list(), y.moment())
+	steps := y.p.Next(func(string) sched.Load { return sched.Load{Runs: 2, Lasting: 2} }, y.moment())
+	is.Equal(len(steps), 1)
+	is.True(steps[0].Stop)
+	steps = y.p.Next(func(string) sched.Load { return sched.Load{Runs: 2, Lasting: 1} }, y.moment())
+	is.Equal(len(steps), closeAhead) // what else runs there may go on for a while
+}
+
+// A VM that can't be emptied now stays open, and the others go on.
+func TestVMThatCanNotBeEmptiedStaysOpen(t *testing.T) {
+	is := is.New(t)
+	y := newYard(t, 3, 1, 30*time.Second)
+	bound := true
+	load := func(id string) sched.Load {
+		return sched.Load{Bound: bound && id == "m01/0"}
+	}
+	var begun []string
+	for ; y.now < 20*time.Second; y.now += 400 * time.Millisecond {
+		y.p.See(y.list(), y.moment())
+		if len(begun) == 2 && y.down() == 0 {
+			bound = false
+		}
+		for _, s := range y.p.Next(load, y.moment()) {
+			is.True(!bound || s.VM != "m01")
+			if s.Begin {
+				y.upkeep(s.VM)
+				begun = append(begun, s.VM)
+				y.p.Answered(s.Wave, s.VM, nil, y.moment())
+			}
+		}
+	}
+	is.Equal(begun, []string{"m00", "m02", "m01"})
+}
+
 func TestWaveChecksItself(t *testing.T) {
 	cases := map[string]struct {
 		wave Wave
