Tell the story of one request from the logs of several nodes

Cause: the lines of a request lie in the logs of several nodes, with times in whole seconds, so that they could not be put in order.

Ruled out: an index in the store (priced, and away when it is needed most).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -172,6 +173,10 @@
 	{ObjectDown, "object-store-down", zerolog.WarnLevel, "An answer could not be written to the object store and is kept by its worker."},
 }
 
+// stamp is the format of a line's time, in ms, so that the lines of several nodes
+// can be put in order.
+const stamp = "2006-01-02T15:04:05.000Z07:00"
+
 // Log writes numbered events; the zero value writes nothing.
 type Log struct {
 	logger *zerolog.Logger
@@ -180,7 +185,7 @@
 
 // New returns a Log that writes JSON lines from level on to w with the node's name.
 func New(w io.Writer, node string, level zerolog.Level) *Log {
-	logger := zerolog.New(w).Level(level).With().Timestamp().Str("node", node).Logger()
+	logger := zerolog.New(w).Level(level).With().Str("node", node).Logger()
 	byID := map[ID]Meaning{}
 	for _, m := range Catalogue {
 		byID[m.ID] = m
@@ -194,5 +199,5 @@
 		return nil
 	}
 	m := l.byID[id]
-	return l.logger.WithLevel(m.Level).Int("event", int(id)).Str("name", m.Name)
+	return l.logger.WithLevel(m.Level).Str("time", time.Now().UTC().Format(stamp)).Int("event", int(id)).Str("name", m.Name)
 }
--- /dev/null
+++ b/internal/trace/doc.go
@@ -0,0 +1,3 @@
+// Package trace merges the logs of several nodes into the story of one request,
+// in words.
+package trace
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,88 @@
+package trace
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+
+	"greengageline/internal/event"
+)
+
+func read(t *testing.T, paths ...string) []Line {
+	t.Helper()
+	var all []Line
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines, err := Read(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = f.Close()
+		all = append(all, lines...)
+	}
+	return all
+}
+
+// A job that one node could not store, recorded at two nodes on a day on which
+// the store turned one of them away.
+func TestRecordedLogsTellOneStory(t *testing.T) {
+	is := is.New(t)
+	want, err := os.ReadFile("testdata/story.txt")
+	is.NoErr(err)
+	for name, paths := range map[string][]string{
+		"in order":      {"testdata/edge-lautoka-1.log", "testdata/edge-lautoka-2.log"},
+		"the other way": {"testdata/edge-lautoka-2.log", "testdata/edge-lautoka-1.log"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Text(Of(read(t, paths...), "30756194f570248f")), string(want))
+		})
+	}
+	is.Equal(len(Of(read(t, "testdata/edge-lautoka-1.log"), "0000000000000000")), 0)
+}
+
+func TestLinesOfOneMomentAreCounted(t *testing.T) {
+	is := is.New(t)
+	line := `x | {"node":"n","time":"2026-01-01T00:00:00.%Z","name":"task-placed","task":"a.0.0.1","worker":"w","run":7,"reason":"free room","epoch":1}` + "\n"
+	var log strings.Builder
+	for _, ms := range []string{"000", "001", "002", "003", "004"} {
+		log.WriteString(strings.Replace(line, "%", ms, 1))
+	}
+	lines, err := Read(strings.NewReader(log.String()))
+	is.NoErr(err)
+	got := Text(Of(lines, "a"))
+	is.Equal(strings.Count(got, "goes to w as run 7"), fold)
+	is.True(strings.Contains(got, "and 2 more such lines to +0.004 s"))
+}
+
+func TestEventWithoutWordsIsToldByItsFields(t *testing.T) {
+	is := is.New(t)
+	l := Line{Name: "odd", Fields: map[string]any{"job": "a"}}
+	is.Equal(l.Words(), `odd {"job":"a"}`)
+}
+
+// Each event with words is one of the catalogue.
+func TestWordsAreOfKnownEvents(t *testing.T) {
+	is := is.New(t)
+	known := map[string]bool{}
+	for _, m := range event.Catalogue {
+		known[m.Name] = true
+	}
+	for name := range words {
+		is.True(known[name])
+	}
+}
+
+func TestLogThatCanNotBeReadIsAnError(t *testing.T) {
+	is := is.New(t)
+	broken := errors.New("broken")
+	_, err := Read(iotest.ErrReader(broken))
+	is.True(errors.Is(err, broken))
+}
