--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -29,6 +29,40 @@
 	return dir
 }
 
+// sheetFile is the platform's settings with a line of its bounds.
+func sheetFile(t *testing.T, bound string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "local.yaml")
+	text := `nodeName: n
+ip: "10.0.0.1"
+listen: {front: "10.0.0.1:1", ready: "10.0.0.1:2"}
+portRange: [7000, 7015]
+bounds:
+  revokeMs: 5000
+  ` + bound + `
+platform: {address: "10.0.0.2:1"}
+`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestTraceReadsFilesAndStandardInput(t *testing.T) {
+	is := is.New(t)
+	line := `{"node":"n","time":"2026-01-01T00:00:00.000Z","name":"work-ended","job":"abc","state":"completed","epoch":1}` + "\n"
+	path := filepath.Join(t.TempDir(), "n.log")
+	is.NoErr(os.WriteFile(path, []byte(line), 0o600))
+	for name, args := range map[string][]string{"a file": {"trace", "abc", path}, "standard input": {"trace", "abc"}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out, errOut bytes.Buffer
+			is.Equal(Main(context.Background(), args, strings.NewReader(line), &out, &errOut), exitDone)
+			is.True(strings.Contains(out.String(), "shown as completed"))
+		})
+	}
+}
+
 // answering serves one status and body for every request.
 func answering(t *testing.T, status int, body string) string {
 	t.Helper()
@@ -65,6 +99,12 @@
 		"not known":        {submit(unknown), exitUnknown, "ask again"},
 		"nobody answers":   {submit("127.0.0.1:1"), exitFailed, "no entry node answered"},
 		"good folder":      {[]string{"check", "-folder", folder(t, "[cells.viti]\nzones = [\"suva\"]\n")}, exitDone, ""},
+		"good platform":    {[]string{"edge", "-check", "-settings", sheetFile(t, "maxHoldMs: 6000")}, exitDone, ""},
+		"bad platform":     {[]string{"edge", "-check", "-settings", sheetFile(t, "maxHoldMs: 0")}, exitUsage, "bounds.maxHoldMs is 0"},
+		"no type there":    {[]string{"edge", "-check", "-settings", sheetFile(t, "maxHoldMs: long")}, exitUsage, "line 7"},
+		"no such file":     {[]string{"edge", "-check", "-settings", "none.yaml"}, exitUsage, "none.yaml"},
+		"trace of nothing": {[]string{"trace"}, exitUsage, "want the id"},
+		"not in the logs":  {[]string{"trace", "abc"}, exitUnknown, "no line of 0 is about request abc"},
 		"bad folder":       {[]string{"check", "-folder", folder(t, "colour = 1\n")}, exitUsage, `10.toml:1: key "colour"`},
 	}
 	for name, c := range cases {
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -18,6 +18,7 @@
 	"greengageline/internal/setup"
 	"greengageline/pkg/client"
 	"greengageline/pkg/model"
+	"greengageline/platform/sheet"
 )
 
 // Exit codes of every subcommand.
@@ -75,7 +76,7 @@
 func codeOf(err error) int {
 	var p *client.Problem
 	switch {
-	case errors.Is(err, errUsage), errors.Is(err, setup.ErrInvalid):
+	case errors.Is(err, errUsage), errors.Is(err, setup.ErrInvalid), errors.Is(err, sheet.ErrInvalid):
 		return exitUsage
 	case errors.Is(err, client.ErrNotKnown):
 		return exitUnknown
