Turn the faults of the owner's tests through switches that the race detector accepts

Cause: tests set plain fields while the world ran, so that the race detector reported the tests and could not speak of the product.

Change: a switch under a mutex for each fault; nodes are made with their size and begin later.

--- a/internal/lead/advise_test.go
+++ b/internal/lead/advise_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"greengageline/internal/clock"
@@ -14,12 +15,15 @@
 // advise lets every queue need an adviser, that allows the even workers with
 // tickets for valid and loses each third question.
 func (w *world) advise(valid time.Duration) {
-	for i := range w.plan.Queues {
-		w.plan.Queues[i].Advice = &model.Advice{DecideMs: 20, EachMs: 1, ValidMs: float64(valid.Milliseconds())}
+	p := w.plan.get()
+	p.Queues = slices.Clone(p.Queues)
+	for i := range p.Queues {
+		p.Queues[i].Advice = &model.Advice{DecideMs: 20, EachMs: 1, ValidMs: float64(valid.Milliseconds())}
 	}
-	w.plan.Version++
+	p.Version++
+	w.plan.set(p)
 	asked := 0
-	w.adviser = func(ctx context.Context, step sched.Ref, workers []string) (orders.Advice, error) {
+	w.adviser.set(func(ctx context.Context, step sched.Ref, workers []string) (orders.Advice, error) {
 		w.mu.Lock()
 		asked++
 		lost := asked%3 == 0
@@ -36,12 +40,12 @@
 			}
 		}
 		return out, nil
-	}
+	})
 }
 
 // ticketed reports whether a start carries a valid ticket, where one is needed.
 func (m *memWorker) ticketed(in orders.Start) bool {
-	if m.w.adviser == nil {
+	if m.w.adviser.get() == nil {
 		return true
 	}
 	var step, id string
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -99,37 +99,37 @@
 	}},
 	"the owner is cut from the store": {during: func(w *world, nodes []*node) {
 		name := owner(nodes).Node
-		w.store.refuse = func(who, _ string) error {
+		w.store.refuse.set(func(who, _ string) error {
 			if who == name {
 				return rows.ErrRefused
 			}
 			return nil
-		}
+		})
 	}},
 	"the store is away for five seconds": {during: func(w *world, _ []*node) {
 		from := w.now()
-		w.store.refuse = func(string, string) error {
+		w.store.refuse.set(func(string, string) error {
 			if w.now()-from < 5*time.Second {
 				return rows.ErrRefused
 			}
 			return nil
-		}
+		})
 	}},
 	"the store is slow": {before: func(w *world, _ []*node) {
-		w.store.took = 700 * time.Millisecond
+		w.store.took.set(700 * time.Millisecond)
 	}},
 	"every third answer of the store is lost": {before: func(w *world, _ []*node) {
 		var n atomic.Int64
-		w.store.lose = func(string) bool { return n.Add(1)%3 == 0 }
+		w.store.lose.set(func(string) bool { return n.Add(1)%3 == 0 })
 	}, limit: 3 * time.Minute},
 	"some writes are done seconds later": {before: func(w *world, _ []*node) {
 		var n atomic.Int64
-		w.store.late = func(string) time.Duration {
+		w.store.late.set(func(string) time.Duration {
 			if n.Add(1)%5 == 0 {
 				return 4 * time.Second
 			}
 			return 0
-		}
+		})
 	}, limit: 3 * time.Minute},
 	"the store forgets its history": {during: func(w *world, _ []*node) {
 		w.store.mu.Lock()
@@ -139,7 +139,7 @@
 	"a worker dies": {during: func(w *world, _ []*node) {
 		m := w.worker("w1")
 		m.mu.Lock()
-		m.gone = true
+		m.gone.set(true)
 		m.mu.Unlock()
 	}},
 	"a worker restarts under its id": {during: func(w *world, _ []*node) {
@@ -153,67 +153,64 @@
 	"a worker is cut off and runs on": {during: func(w *world, _ []*node) {
 		m := w.worker("w1")
 		from := w.now()
-		m.cut = func(string) bool { return w.now()-from < 9*time.Second }
+		m.cut.set(func(string) bool { return w.now()-from < 9*time.Second })
 	}},
 	"a worker is cut off from the owner that dies": {during: func(w *world, nodes []*node) {
 		o := owner(nodes)
-		w.worker("w1").cut = first(o.Node)
+		w.worker("w1").cut.set(first(o.Node))
 		clock.Sleep(context.Background(), time.Second)
 		o.kill()
 	}},
 	"answers of a worker are lost": {during: func(w *world, _ []*node) {
 		m := w.worker("w1")
 		m.mu.Lock()
-		m.oneWay = true
+		m.oneWay.set(true)
 		m.mu.Unlock()
 		time.AfterFunc(8*time.Second, func() {
 			m.mu.Lock()
-			m.oneWay = false
+			m.oneWay.set(false)
 			m.mu.Unlock()
 		})
 	}},
 	"orders are carried out late": {before: func(w *world, _ []*node) {
 		for _, m := range w.workers {
 			var n atomic.Int64
-			m.late = func() time.Duration {
+			m.late.set(func() time.Duration {
 				if n.Add(1)%4 == 0 {
 					return 3 * time.Second
 				}
 				return 0
-			}
+			})
 		}
 	}, limit: 3 * time.Minute},
 	"some orders are lost": {before: func(w *world, _ []*node) {
 		for _, m := range w.workers {
 			var n atomic.Int64
-			m.late = func() time.Duration {
+			m.late.set(func() time.Duration {
 				if n.Add(1)%4 == 0 {
 					return time.Hour
 				}
 				return 0
-			}
+			})
 		}
 	}, limit: 3 * time.Minute},
 	"a worker fails all that it starts": {before: func(w *world, _ []*node) {
-		w.worker("w2").fails = true
+		w.worker("w2").fails.set(true)
 	}},
 	"a worker's entry is gone": {during: func(w *world, _ []*node) {
 		m := w.worker("w1")
 		m.mu.Lock()
-		m.unlisted = true
+		m.unlisted.set(true)
 		m.mu.Unlock()
 	}},
-	"the owner can't reach the others": {during: func(_ *world, nodes []*node) {
+	"the owner can't reach the others": {during: func(w *world, nodes []*node) {
 		name := owner(nodes).Node
-		for _, n := range nodes {
-			ask := n.Ask
-			n.Ask = func(ctx context.Context, addr string) (Pulse, error) {
-				if addr == name {
-					return Pulse{}, errors.New("cut")
-				}
-				return ask(ctx, addr)
+		w.asks.set(func(_ context.Context, _, to string) error {
+			if to == name {
+				return errors.New("cut")
 			}
-		}
+			return nil
+		})
 	}},
 }
 
@@ -228,12 +225,19 @@
 	}
 }
 
+// testCores is the size of a node, where a test names none.
+const testCores = 0.4
+
 // begin starts a world with workers and nodes, and waits until one of these
 // owns the work; stop ends them and lets late writes and orders come.
 func begin(workers, count int) (w *world, nodes []*node, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w = newWorld(workers)
-	nodes = w.nodes(ctx, count, nil)
+	cores := make([]float64, count)
+	for i := range cores {
+		cores[i] = testCores
+	}
+	nodes = w.nodes(ctx, cores...)
 	time.Sleep(2 * time.Second)
 	return w, nodes, func() {
 		cancel()
@@ -329,7 +333,7 @@
 		w, _, stop := begin(2, 1)
 		defer stop()
 		for _, m := range w.workers {
-			m.takes = time.Minute
+			m.takes.set(time.Minute)
 		}
 		w.submit("a", "bulk", oneGPU(4))
 		time.Sleep(time.Second)
@@ -367,13 +371,13 @@
 		w, nodes, stop := begin(2, 3)
 		defer stop()
 		for _, m := range w.workers {
-			m.takes = time.Minute
+			m.takes.set(time.Minute)
 		}
 		w.submit("a", "bulk", oneGPU(4))
 		time.Sleep(time.Second)
 		owner(nodes).Resign(context.Background())
 		w.cancel("a")
-		w.store.took = 300 * time.Millisecond // the list comes after the first tick
+		w.store.took.set(300 * time.Millisecond) // the list comes after the first tick
 		time.Sleep(8 * time.Second)
 		is.Equal(w.state("a"), sched.Cancelled)
 		for _, m := range w.workers {
@@ -393,22 +397,19 @@
 		defer stop()
 		old := owner(nodes)
 		var asleep atomic.Bool
-		w.store.refuse = func(who, _ string) error {
+		w.store.refuse.set(func(who, _ string) error {
 			for who == old.Node && asleep.Load() {
 				time.Sleep(10 * time.Millisecond)
 			}
 			return nil
-		}
-		for _, n := range nodes {
-			ask := n.Ask
-			n.Ask = func(ctx context.Context, addr string) (Pulse, error) {
-				if addr == old.Node && asleep.Load() {
-					<-ctx.Done()
-					return Pulse{}, ctx.Err()
-				}
-				return ask(ctx, addr)
+		})
+		w.asks.set(func(ctx context.Context, _, to string) error {
+			if to == old.Node && asleep.Load() {
+				<-ctx.Done()
+				return ctx.Err()
 			}
-		}
+			return nil
+		})
 		asleep.Store(true)
 		ids := w.submitAll(6)
 		time.Sleep(6 * time.Second)
@@ -427,7 +428,7 @@
 		w, nodes, stop := begin(4, 3)
 		defer stop()
 		for _, m := range w.workers {
-			m.stubborn = true
+			m.stubborn.set(true)
 		}
 		w.submitAll(6)
 		time.Sleep(300 * time.Millisecond)
@@ -448,17 +449,17 @@
 		w, _, stop := begin(2, 1)
 		defer stop()
 		for _, m := range w.workers {
-			m.takes = 20 * time.Second
+			m.takes.set(20 * time.Second)
 		}
 		w.submit("bulk", "bulk", oneGPU(16))
 		time.Sleep(time.Second)
 		from := w.now()
-		w.store.refuse = func(_, op string) error {
+		w.store.refuse.set(func(_, op string) error {
 			if op == "commit" && w.now()-from < 2200*time.Millisecond {
 				return rows.ErrRefused
 			}
 			return nil
-		}
+		})
 		time.Sleep(900 * time.Millisecond) // a renewal has been on its way for a while
 		w.submit("urgent", "urgent", gang(2))
 		time.Sleep(time.Second)
@@ -482,16 +483,14 @@
 func TestLargerNodeOwnsTheWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		_, nodes, stop := begin(1, 3)
+		w, nodes, stop := begin(1, 3)
 		defer stop()
-		for _, n := range nodes {
-			n.Cores = 0.2
-			if n.Own() == nil {
-				n.Cores = 0.8
-			}
-		}
+		is.True(owner(nodes) != nil)
+		large := w.node("large", 2*testCores)
+		large.begin(context.Background())
+		defer large.kill()
 		time.Sleep(10 * time.Second)
-		is.Equal(owner(nodes).Cores, 0.8)
+		is.True(large.Own() != nil)
 	})
 }
 
@@ -503,12 +502,12 @@
 		defer stop()
 		var n atomic.Int64
 		for _, m := range w.workers {
-			m.late = func() time.Duration {
+			m.late.set(func() time.Duration {
 				if n.Add(1)%2 == 0 {
 					return 2 * time.Second
 				}
 				return 0
-			}
+			})
 		}
 		ids := w.submitAll(6)
 		w.await(t, ids, 3*time.Minute)
@@ -534,14 +533,14 @@
 				w, nodes, stop := begin(2, 3)
 				defer stop()
 				old := owner(nodes)
-				w.store.refuse = func(who, _ string) error {
+				w.store.refuse.set(func(who, _ string) error {
 					if who != old.Node {
 						return nil
 					}
 					ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 					defer cancel()
 					return answer(ctx)
-				}
+				})
 				from := w.now()
 				limit := deadAfter + 2*watchEvery + takeLimit
 				for w.now()-from < limit && !slices.ContainsFunc(nodes, func(n *node) bool { return n != old && n.Own() != nil }) {
@@ -562,16 +561,16 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				w, nodes, stop := begin(2, 8)
-				defer stop()
+				w := newWorld(2)
 				time.Sleep(time.Duration(seed) * 37 * time.Millisecond)
-				for i, n := range nodes {
-					n.Cores = 0.2
-					if i < 3 {
-						n.Cores = 0.8
+				nodes := w.nodes(context.Background(), 0.8, 0.8, 0.8, 0.2, 0.2, 0.2, 0.2, 0.2)
+				defer func() {
+					for _, n := range nodes {
+						n.kill()
 					}
-				}
-				time.Sleep(2 * settleTime) // the work goes to a large node
+					time.Sleep(15 * time.Second)
+				}()
+				time.Sleep(3 * settleTime) // the work goes to a large node
 				old := owner(nodes)
 				is.Equal(old.Cores, 0.8)
 				old.kill()
--- a/internal/lead/store_test.go
+++ b/internal/lead/store_test.go
@@ -12,6 +12,26 @@
 	"greengageline/internal/rows"
 )
 
+// knob is a fault's switch, which tests turn while the world runs; the zero value
+// is off.
+type knob[T any] struct {
+	mu sync.Mutex
+	// v is guarded by mu.
+	v T
+}
+
+func (k *knob[T]) set(v T) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.v = v
+}
+
+func (k *knob[T]) get() T {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.v
+}
+
 // memStore is a store in memory with the faults that the platform's has.
 type memStore struct {
 	mu      sync.Mutex
@@ -23,10 +43,10 @@
 	// The seams for faults; nil means none. refuse is asked before a call,
 	// lose after a write has been done, late before one whose answer is lost
 	// and that is done after the returned time.
-	refuse func(who, op string) error
-	lose   func(who string) bool
-	late   func(who string) time.Duration
-	took   time.Duration
+	refuse knob[func(who, op string) error]
+	lose   knob[func(who string) bool]
+	late   knob[func(who string) time.Duration]
+	took   knob[time.Duration]
 	floor  uint64 // history before this version is gone
 	// each is the time that a part takes for a transaction, one after another;
 	// free is when each part can take the next.
@@ -35,7 +55,9 @@
 }
 
 func newMemStore() *memStore {
-	return &memStore{rows: map[string]rows.Row{}, free: map[string]time.Time{}, changed: make(chan struct{}), took: 10 * time.Millisecond}
+	m := &memStore{rows: map[string]rows.Row{}, free: map[string]time.Time{}, changed: make(chan struct{})}
+	m.took.set(10 * time.Millisecond)
+	return m
 }
 
 // view returns the store as the node who sees it.
@@ -58,15 +80,15 @@
 	if err := m.inTurn(ctx, t); err != nil {
 		return 0, nil, err
 	}
-	if m.late != nil {
-		if d := m.late(who); d > 0 {
+	if late := m.late.get(); late != nil {
+		if d := late(who); d > 0 {
 			time.AfterFunc(d, func() { m.apply(t) })
 			<-ctx.Done()
 			return 0, nil, rows.ErrUnclear
 		}
 	}
 	v, present, err := m.apply(t)
-	if err == nil && m.lose != nil && m.lose(who) {
+	if lose := m.lose.get(); err == nil && lose != nil && lose(who) {
 		<-ctx.Done()
 		return 0, nil, rows.ErrUnclear
 	}
@@ -109,12 +131,12 @@
 func nameOf(r rows.Row) string { return r.Table + " " + r.Part + " " + r.Key }
 
 func (m *memStore) asked(ctx context.Context, who, op string) error {
-	if m.refuse != nil {
-		if err := m.refuse(who, op); err != nil {
+	if refuse := m.refuse.get(); refuse != nil {
+		if err := refuse(who, op); err != nil {
 			return err
 		}
 	}
-	clock.Sleep(ctx, m.took)
+	clock.Sleep(ctx, m.took.get())
 	if ctx.Err() != nil {
 		return rows.ErrUnclear
 	}
--- a/internal/lead/upkeep_test.go
+++ b/internal/lead/upkeep_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"greengageline/internal/clock"
-	"greengageline/internal/sched"
 	"greengageline/internal/upkeep"
 )
 
@@ -94,7 +93,7 @@
 			var out []upkeep.VM
 			for id, m := range w.workers {
 				down := w.inUpkeep[id[:2]] > w.now()
-				if !m.gone || down && len(id) == 2 {
+				if !m.gone.get() || down && len(id) == 2 {
 					out = append(out, upkeep.VM{ID: id[:2], Up: !down, Down: down, Worker: id})
 				}
 			}
@@ -152,15 +151,11 @@
 		w.fault("%s goes down with %d runs", vm, running)
 	}
 	m.mu.Lock()
-	m.gone = true
+	m.gone.set(true)
 	m.mu.Unlock()
 	time.AfterFunc(upkeepTime, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		id := vm + "x"
-		w.workers[id] = &memWorker{
-			id: id, w: w, room: m.room, born: 2, mu: &w.atWork, takes: m.takes,
-			runs: map[sched.Ref]*memRun{}, floor: map[sched.Ref]int64{},
-		}
+		w.addWorker(vm+"x", 2, m.takes.get())
 	})
 }
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -35,15 +36,15 @@
 	w        *world
 	room     model.Room
 	born     int64
-	gone     bool
-	unlisted bool
-	cut      func(who string) bool // orders and answers do not pass
-	oneWay   bool                  // orders pass, answers do not
-	late     func() time.Duration  // orders without an answer, done later
-	takes    time.Duration
-	fails    bool
-	leaving  bool
-	stubborn bool // a hold does not end with its context, as a call may not
+	gone     knob[bool]
+	unlisted knob[bool]
+	cut      knob[func(who string) bool] // orders and answers do not pass
+	oneWay   knob[bool]                  // orders pass, answers do not
+	late     knob[func() time.Duration]  // orders without an answer, done later
+	takes    knob[time.Duration]
+	fails    knob[bool]
+	leaving  knob[bool]
+	stubborn knob[bool] // a hold does not end with its context, as a call may not
 
 	// mu guards all workers of the world, since a start looks at another one's
 	// runs; it is taken before the world's own mutex.
@@ -69,11 +70,14 @@
 	faults  []string
 	doneRun map[sched.Ref]bool // ends that were acknowledged as done
 	live    map[sched.Ref]string
-	plan    model.Plan
+	plan    knob[model.Plan]
 	work    map[string]*model.Work
 	rnd     *rand.Rand
+	// asks is asked before a node's question to another.
+	asks   knob[func(ctx context.Context, from, to string) error]
+	byAddr map[string]*node // guarded by mu
 	// adviser is nil if no queue needs one.
-	adviser func(ctx context.Context, step sched.Ref, workers []string) (orders.Advice, error)
+	adviser knob[func(ctx context.Context, step sched.Ref, workers []string) (orders.Advice, error)]
 	// wave is what an operator asks for; inUpkeep is until when a VM is down,
 	// holders who gave the last order for it.
 	wave     *upkeep.Wave
@@ -92,26 +96,33 @@
 func newWorld(n int) *world {
 	w := &world{
 		base: time.Now(), store: newMemStore(), workers: map[string]*memWorker{}, doneRun: map[sched.Ref]bool{},
-		live: map[sched.Ref]string{}, inUpkeep: map[string]time.Duration{}, holders: map[string]holder{}, work: map[string]*model.Work{}, rnd: rand.New(rand.NewPCG(1, 1)),
-		plan: model.Plan{
-			Version: 1,
-			Queues: []model.Queue{
-				{Name: "urgent", Pool: "p", Attempts: 3, Stretch: 2, AimMs: 500},
-				{Name: "bulk", Pool: "p", Priority: 1, Attempts: 2, Stretch: 3, AimMs: 1000},
-			},
-			Spaces: []model.PlanSpace{{Name: "ws", Keys: []string{"k"}, Guaranteed: 16}},
-		},
+		live: map[sched.Ref]string{}, inUpkeep: map[string]time.Duration{}, holders: map[string]holder{}, byAddr: map[string]*node{}, work: map[string]*model.Work{}, rnd: rand.New(rand.NewPCG(1, 1)),
 	}
+	w.plan.set(model.Plan{
+		Version: 1,
+		Queues: []model.Queue{
+			{Name: "urgent", Pool: "p", Attempts: 3, Stretch: 2, AimMs: 500},
+			{Name: "bulk", Pool: "p", Priority: 1, Attempts: 2, Stretch: 3, AimMs: 1000},
+		},
+		Spaces: []model.PlanSpace{{Name: "ws", Keys: []string{"k"}, Guaranteed: 16}},
+	})
 	for i := range n {
-		id := fmt.Sprintf("w%d", i)
-		w.workers[id] = &memWorker{
-			id: id, w: w, room: model.Room{Millicores: 64000, MemoryMB: 256000, Accelerators: 8}, born: 1,
-			mu: &w.atWork, takes: time.Second, runs: map[sched.Ref]*memRun{}, floor: map[sched.Ref]int64{},
-		}
+		w.addWorker(fmt.Sprintf("w%d", i), 1, time.Second)
 	}
 	return w
 }
 
+// addWorker lets a worker's life begin, whose runs take a time; the caller holds
+// mu if the world runs.
+func (w *world) addWorker(id string, born int64, takes time.Duration) {
+	m := &memWorker{
+		id: id, w: w, room: model.Room{Millicores: 64000, MemoryMB: 256000, Accelerators: 8}, born: born,
+		mu: &w.atWork, runs: map[sched.Ref]*memRun{}, floor: map[sched.Ref]int64{},
+	}
+	m.takes.set(takes)
+	w.workers[id] = m
+}
+
 func (w *world) now() time.Duration { return time.Since(w.base) }
 
 func (w *world) fault(format string, args ...any) {
@@ -124,7 +135,7 @@
 func (w *world) fleet(who string) *orders.Fleet {
 	return &orders.Fleet{
 		Advise: func(ctx context.Context, step sched.Ref, workers []string) (orders.Advice, error) {
-			return w.adviser(ctx, step, workers)
+			return w.adviser.get()(ctx, step, workers)
 		},
 		List: func(ctx context.Context) ([]orders.Entry, error) {
 			if err := w.store.asked(ctx, who, "list"); err != nil {
@@ -145,7 +156,7 @@
 				return 0, err
 			}
 			clock, err := m.start(in)
-			if m.oneWay {
+			if m.oneWay.get() {
 				<-ctx.Done()
 				return 0, orders.ErrUnclear
 			}
@@ -170,11 +181,14 @@
 func (w *world) entries() []orders.Entry {
 	w.atWork.Lock()
 	defer w.atWork.Unlock()
+	w.mu.Lock()
+	workers := maps.Clone(w.workers)
+	w.mu.Unlock()
 	var out []orders.Entry
-	for id, m := range w.workers {
-		if !m.gone && !m.unlisted {
+	for id, m := range workers {
+		if !m.gone.get() && !m.unlisted.get() {
 			out = append(out, orders.Entry{
-				Worker: sched.Worker{ID: id, Pool: "p", Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving},
+				Worker: sched.Worker{ID: id, Pool: "p", Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving.get()},
 				Addr:   id, Born: m.born,
 			})
 		}
@@ -187,16 +201,16 @@
 
 func (m *memWorker) pass(ctx context.Context, who string, later func()) error {
 	clock.Sleep(ctx, travel)
-	if m.cut != nil && m.cut(who) {
+	if cut := m.cut.get(); cut != nil && cut(who) {
 		<-ctx.Done()
 		return orders.ErrUnclear
 	}
-	if m.gone {
+	if m.gone.get() {
 		<-ctx.Done()
 		return orders.ErrUnclear
 	}
-	if m.late != nil && later != nil {
-		if d := m.late(); d > 0 {
+	if late := m.late.get(); late != nil && later != nil {
+		if d := late(); d > 0 {
 			time.AfterFunc(d, later)
 			<-ctx.Done()
 			return orders.ErrUnclear
@@ -227,7 +241,7 @@
 }
 
 func (m *memWorker) hold(ctx context.Context, in orders.Hold) (orders.Held, error) {
-	if m.stubborn {
+	if m.stubborn.get() {
 		ctx = context.WithoutCancel(ctx)
 	}
 	until := m.w.now() + in.Wait
@@ -248,7 +262,7 @@
 			p := int(100 * (m.w.now() - r.began) / max(1, r.takes))
 			out.Running = append(out.Running, orders.Running{Task: r.task, Run: r.run, Saved: r.saved, Percent: min(p, 100)})
 		}
-		gone, oneWay := m.gone, m.oneWay
+		gone, oneWay := m.gone.get(), m.oneWay.get()
 		m.mu.Unlock()
 		if gone || oneWay {
 			<-ctx.Done()
@@ -286,7 +300,7 @@
 			m.end(ref, r, sched.Lapsed)
 		case r.stopped && now >= r.began+r.takes:
 			m.end(ref, r, sched.Stopped)
-		case now >= r.began+r.takes && m.fails:
+		case now >= r.began+r.takes && m.fails.get():
 			m.end(ref, r, sched.Failed)
 		case now >= r.began+r.takes:
 			m.end(ref, r, sched.Done)
@@ -309,7 +323,7 @@
 func (m *memWorker) start(in orders.Start) (int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.gone {
+	if m.gone.get() {
 		return 0, orders.ErrUnclear
 	}
 	if m.fenced(in.Epoch) {
@@ -337,7 +351,7 @@
 		return m.clock(), orders.ErrNoRoom
 	}
 	m.extend(in.DeadlineMs)
-	m.runs[in.Task] = &memRun{task: in.Task, run: in.Run, began: m.w.now(), takes: m.takes}
+	m.runs[in.Task] = &memRun{task: in.Task, run: in.Run, began: m.w.now(), takes: m.takes.get()}
 	m.w.began(in.Task, m.id)
 	return m.clock(), nil
 }
@@ -345,7 +359,7 @@
 func (m *memWorker) stop(task sched.Ref, run, epoch int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.gone {
+	if m.gone.get() {
 		return orders.ErrUnclear
 	}
 	if m.fenced(epoch) {
@@ -377,7 +391,7 @@
 	if done {
 		w.fault("%s starts after it was done", ref)
 	}
-	if !twice || other == nil || at == worker || other.gone {
+	if !twice || other == nil || at == worker || other.gone.get() {
 		return
 	}
 	if w.now() <= other.lease && other.runs[ref] != nil {
@@ -388,7 +402,7 @@
 // submit writes a job as a node does.
 func (w *world) submit(id, queue string, steps ...model.Step) {
 	work := &model.Work{ID: id, Workspace: "ws", Steps: steps, AcceptedMs: time.Now().UnixMilli()}
-	for _, q := range w.plan.Queues {
+	for _, q := range w.plan.get().Queues {
 		if q.Name == queue {
 			work.Queue = q
 		}
@@ -415,40 +429,52 @@
 }
 
 // nodes starts n nodes that ask each other.
-func (w *world) nodes(ctx context.Context, n int, asks func(from, to string) error) []*node {
-	out := make([]*node, n)
-	byAddr := map[string]*node{}
-	for i := range n {
-		name := fmt.Sprintf("n%d", i)
-		l := &Lead{
-			Node: name, Addr: name, Rows: w.store.view(name), Fleet: w.fleet(name), Cores: 0.4, Site: w.site(),
-			Bounds: Bounds{MaxHold: longestLease, KillGrace: killTime, KeepEnded: 2 * time.Minute, Factor: 3},
-			Plan:   func() model.Plan { return w.plan },
-			Now:    w.now,
-		}
-		l.Ask = func(ctx context.Context, addr string) (Pulse, error) {
-			if asks != nil {
-				if err := asks(name, addr); err != nil {
-					return Pulse{}, err
-				}
-			}
-			clock.Sleep(ctx, travel)
-			return byAddr[addr].Pulse(l.Cores), nil
-		}
-		out[i] = &node{Lead: l, done: make(chan struct{})}
-		byAddr[name] = out[i]
+func (w *world) nodes(ctx context.Context, cores ...float64) []*node {
+	out := make([]*node, len(cores))
+	for i, c := range cores {
+		out[i] = w.node(fmt.Sprintf("n%d", i), c)
 	}
-	for _, nd := range out {
-		runCtx, cancel := context.WithCancel(ctx)
-		nd.cancel = cancel
-		go func() {
-			defer close(nd.done)
-			nd.Run(runCtx)
-		}()
+	for _, n := range out {
+		n.begin(ctx)
 	}
 	return out
 }
 
+// node makes a node, which does nothing before it begins.
+func (w *world) node(name string, cores float64) *node {
+	l := &Lead{
+		Node: name, Addr: name, Rows: w.store.view(name), Fleet: w.fleet(name), Cores: cores, Site: w.site(),
+		Bounds: Bounds{MaxHold: longestLease, KillGrace: killTime, KeepEnded: 2 * time.Minute, Factor: 3},
+		Plan:   w.plan.get,
+		Now:    w.now,
+	}
+	l.Ask = func(ctx context.Context, addr string) (Pulse, error) {
+		if asks := w.asks.get(); asks != nil {
+			if err := asks(ctx, name, addr); err != nil {
+				return Pulse{}, err
+			}
+		}
+		clock.Sleep(ctx, travel)
+		w.mu.Lock()
+		asked := w.byAddr[addr]
+		w.mu.Unlock()
+		return asked.Pulse(l.Cores), nil
+	}
+	n := &node{Lead: l, done: make(chan struct{})}
+	w.mu.Lock()
+	w.byAddr[name] = n
+	w.mu.Unlock()
+	return n
+}
+
+func (n *node) begin(ctx context.Context) {
+	ctx, n.cancel = context.WithCancel(ctx)
+	go func() {
+		defer close(n.done)
+		n.Run(ctx)
+	}()
+}
+
 // kill ends a node as a crash does: nothing of it is carried out any more.
 func (n *node) kill() {
 	n.cancel()
