Renew a new owner's row while it reads, and bound what many nodes ask and count

A new owner renewed its row only once it had read all that is stored; when the store refused some of the reads it was replaced after 1.2 s, and the next one read as well, 20 takeovers in a row. The reads were used up by nodes that counted waiting jobs from the rows, 17 reads a count, as long as no owner answered, and by all nodes looking at the owner's row.

Change: the owner's loop runs while it reads, and renews; one that can't read within 8 s gives the work up. Parts that the store refuses are read again by themselves. Nodes count from the rows once in 34 ms between all of them and tell a count for 1.5 s; before any owner has told how many nodes there are, they refuse it. The owner tells how many nodes ask; beyond 125 each asks less often, and takeovers spread by it. Work that a node tells the owner of before the owner has read is left to the feed.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -33,6 +33,8 @@
 	// part can take the next.
 	each time.Duration
 	free map[string]time.Time
+	// ranges counts the reads of ranges.
+	ranges int
 }
 
 func (s *shop) view(who string) *rows.Store {
@@ -63,6 +65,9 @@
 			if err := pass(ctx); err != nil {
 				return rows.Page{}, err
 			}
+			s.mu.Lock()
+			s.ranges++
+			s.mu.Unlock()
 			return s.get(table, part, from, to), nil
 		},
 		Feed: func(ctx context.Context, table string, after uint64, wait time.Duration) (rows.Page, error) {
@@ -489,3 +494,26 @@
 		is.Equal(reply.Count, 1)
 	})
 }
+
+// Counts that the owner can't give are read from the rows, but not more often
+// than the store bears: a new owner needs the reads.
+func TestCountsAreReadFromTheRowsSparingly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := begin(t)
+		_, err := p.edge.Serve(context.Background(), call(Submit, "a"))
+		is.NoErr(err)
+		p.shop.mu.Lock()
+		p.shop.ranges = 0
+		p.shop.mu.Unlock()
+		p.reach = false
+		for range 20 {
+			reply, err := p.edge.Serve(context.Background(), call(Count, ""))
+			is.True(err == nil && reply.Count == 1 || errors.Is(err, ErrNotReady))
+			time.Sleep(100 * time.Millisecond)
+		}
+		p.shop.mu.Lock()
+		defer p.shop.mu.Unlock()
+		is.True(p.shop.ranges < 3*20) // two scans and a few looks at the owner's row
+	})
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -67,6 +67,10 @@
 	wroteIn  atomic.Int64
 	draining atomic.Bool
 
+	scanning sync.Mutex
+	// scan is guarded by scanning, which lets one scan run at a time.
+	scan scan
+
 	mu sync.Mutex
 	// peers is guarded by mu.
 	peers map[string]*peer.Client
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -172,24 +172,60 @@
 			return count, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, readStore)
-	defer cancel()
-	count, err := n.countStored(ctx, queue)
-	if err != nil {
-		return 0, fmt.Errorf("%w: %w", ErrBusy, err)
+	return n.scanned(ctx, queue)
+}
+
+const (
+	// scanFresh is how long a count from the rows may be told again; the users'
+	// page allows 2 s.
+	scanFresh = 1500 * time.Millisecond
+	// scanEach is the time between two scans of all nodes together: each takes
+	// some 17 reads, and a quarter of the store's 2,000 a second is for them.
+	scanEach = 34 * time.Millisecond
+)
+
+// scan is a count of waiting jobs by queue, as read from the rows at a time.
+type scan struct {
+	at     time.Duration
+	counts map[string]int
+}
+
+// scanned counts from the rows if the owner can't be asked, but not more often
+// than the store bears from all nodes: while an owner begins it needs the reads.
+func (n *Node) scanned(ctx context.Context, queue string) (int, error) {
+	nodes := n.Lead.Size()
+	if nodes == 0 {
+		return 0, fmt.Errorf("%w: no owner has told how many nodes there are", ErrNotReady)
+	}
+	n.scanning.Lock()
+	defer n.scanning.Unlock()
+	now := n.now()
+	if age := now - n.scan.at; n.scan.counts == nil || age > scanFresh {
+		if n.scan.at != 0 && age < time.Duration(nodes)*scanEach {
+			return 0, fmt.Errorf("%w: the rows were counted %s ago", ErrNotReady, age)
+		}
+		n.scan.at = now
+		ctx, cancel := context.WithTimeout(ctx, readStore)
+		defer cancel()
+		counts, err := n.countStored(ctx)
+		if err != nil {
+			n.scan.counts = nil
+			return 0, fmt.Errorf("%w: %w", ErrBusy, err)
+		}
+		n.scan.counts = counts
 	}
-	return count, nil
+	return n.scan.counts[queue], nil
 }
 
 // countStored counts from the rows, for a node that can't ask the owner.
-func (n *Node) countStored(ctx context.Context, queue string) (int, error) {
+func (n *Node) countStored(ctx context.Context) (map[string]int, error) {
 	work, err := n.Rows.Parts(ctx, lead.WorkTable, lead.WorkPartNames())
 	if err != nil {
-		return 0, fmt.Errorf("read work: %w", err)
+		return nil, fmt.Errorf("read work: %w", err)
 	}
 	records, err := n.Rows.All(ctx, lead.RecordTable, "")
 	if err != nil {
-		return 0, fmt.Errorf("read records: %w", err)
+		return nil, fmt.Errorf("read records: %w", err)
 	}
 	begun := map[string]bool{}
 	for _, r := range records.Rows {
@@ -203,14 +239,14 @@
 			begun[id] = true
 		}
 	}
-	count := 0
+	counts := map[string]int{}
 	for _, r := range work.Rows {
 		var w model.Work
-		if !begun[r.Key] && json.Unmarshal(r.Value, &w) == nil && w.Queue.Name == queue {
-			count++
+		if !begun[r.Key] && json.Unmarshal(r.Value, &w) == nil {
+			counts[w.Queue.Name]++
 		}
 	}
-	return count, nil
+	return counts, nil
 }
 
 // within returns the time that a request may take, given what its caller waits
--- /dev/null
+++ b/internal/lead/count_test.go
@@ -0,0 +1,53 @@
+package lead
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// However many nodes there are, together they ask the owner about 500 times a
+// second, and each hears how many they are.
+func TestManyNodesAskTheOwnerLessOften(t *testing.T) {
+	cases := map[string]struct {
+		nodes    int
+		perSecLo int
+		perSecHi int
+	}{
+		"nine":          {9, 30, 42},
+		"three hundred": {300, 380, 620},
+		"two thousand":  {2000, 380, 620},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				base := time.Now()
+				l := &Lead{Now: func() time.Duration { return time.Since(base) + time.Hour }}
+				asked, nodes := 0, 0
+				next := make([]time.Duration, c.nodes)
+				for i := range next {
+					next[i] = time.Duration(i) * watchEvery / time.Duration(c.nodes)
+				}
+				for ms := range 30_000 {
+					now := time.Duration(ms) * time.Millisecond
+					for i := range next {
+						if next[i] > now {
+							continue
+						}
+						nodes = l.count()
+						next[i] = now + watchInterval(nodes)
+						if ms >= 20_000 {
+							asked++
+						}
+					}
+					time.Sleep(time.Millisecond)
+				}
+				is.True(asked/10 >= c.perSecLo && asked/10 <= c.perSecHi)
+				is.True(nodes > c.nodes*7/10 && nodes < c.nodes*13/10)
+			})
+		})
+	}
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -50,6 +50,12 @@
 	// watchEvery is how often a node asks the owner whether it is well: a few
 	// times within deadAfter.
 	watchEvery = 250 * time.Millisecond
+	// watchEach is the time between two questions of all nodes together, some
+	// 500 a second: an answer takes the owner about 0.1 ms. Beyond 125 nodes each
+	// asks less often.
+	watchEach = 2 * time.Millisecond
+	// countSpan is how long the owner counts questions to tell how many nodes ask.
+	countSpan = time.Second
 	// askTimeout bounds one such question; a round trip takes a few ms.
 	askTimeout = 400 * time.Millisecond
 	// renewEvery is how long the owner's row stands unchanged at most while
@@ -70,6 +76,9 @@
 	// leases: longer than the store's outages on the users' sites, since
 	// nobody else can take over while it is out.
 	orderBound = 8 * time.Second
+	// rebuildBound is how long a new owner may take to read what is stored: a few
+	// tries of storeTimeout; then another node may try.
+	rebuildBound = 8 * time.Second
 	// storeTimeout bounds one call of the store; a slow one takes about 1 s.
 	storeTimeout = 2500 * time.Millisecond
 	// promptRead is how fast a read of the store shows that it is not the store
@@ -83,8 +92,14 @@
 	tryFactor = 2
 	// takeJitter spreads the nodes that find the row free at one moment; the
 	// larger ones go first by takeStep divided by their cores.
-	takeJitter = 60 * time.Millisecond
-	takeStep   = 60 * time.Millisecond
+	// There is as much jitter for each takersAtOnce nodes, as a part of the store
+	// takes 150 transactions a second and one at a time.
+	takeJitter   = 60 * time.Millisecond
+	takersAtOnce = 30
+	// lookAgain is the delay from which the row is read once more before it is
+	// taken: a read costs less than a transaction that fails.
+	lookAgain = 200 * time.Millisecond
+	takeStep  = 60 * time.Millisecond
 	// minCores bounds the delay of the smallest nodes.
 	minCores = 0.1
 	// muchLarger is from how many times an owner's cores another node should
@@ -126,6 +141,8 @@
 	Addr string `json:"addr,omitempty"`
 	// Most is the most cores of another node that the owner has heard of lately.
 	Most float64 `json:"most,omitempty"`
+	// Nodes is about how many nodes ask the owner.
+	Nodes int `json:"nodes,omitempty"`
 }
 
 // Bounds are the platform's figures that the owner relies on.
@@ -178,6 +195,11 @@
 	// at mostAt.
 	most   float64
 	mostAt time.Duration
+	// nodes is guarded by mu: about how many there are, as counted here while
+	// the work is owned, or as the owner told; asked counts the questions since
+	// askedAt.
+	nodes, asked int
+	askedAt      time.Duration
 
 	// The fields below belong to Run's goroutine.
 	seen    rows.Row // the right row as last read
@@ -246,9 +268,36 @@
 	}
 	return Pulse{
 		Owner: true, Epoch: o.epoch, AgeMs: o.age().Milliseconds(), Version: o.committed.Load(), Addr: l.Addr, Most: most,
+		Nodes: l.count(),
 	}
 }
 
+// count counts a question and returns about how many nodes ask.
+func (l *Lead) count() int {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked++
+	switch span := now - l.askedAt; {
+	case span > 2*countSpan: // the first for a while
+		l.asked, l.askedAt = 1, now
+	case span >= countSpan:
+		l.nodes = int(float64(l.asked) * float64(watchInterval(l.nodes)) / float64(span))
+		l.asked, l.askedAt = 0, now
+	}
+	return l.nodes
+}
+
+// watchInterval is how often each of a number of nodes asks the owner.
+func watchInterval(nodes int) time.Duration { return max(watchEvery, time.Duration(nodes)*watchEach) }
+
+// Size returns about how many nodes there are; 0 before an owner has told.
+func (l *Lead) Size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nodes
+}
+
 // hear notes the cores of a node that asked and returns the most that one had
 // within settleTime.
 func (l *Lead) hear(cores float64) float64 {
@@ -275,7 +324,8 @@
 	}()
 	for ctx.Err() == nil {
 		l.turn(ctx)
-		clock.Sleep(ctx, watchEvery-watchEvery/4+rand.N(watchEvery/2))
+		every := watchInterval(l.Size())
+		clock.Sleep(ctx, every-every/4+rand.N(every/2))
 	}
 }
 
@@ -334,6 +384,9 @@
 	if p.Owner {
 		l.told, l.toldAt = p.Version, asked-time.Duration(p.AgeMs)*time.Millisecond
 		l.others, l.othersAt = p.Most, asked
+		l.mu.Lock()
+		l.nodes = p.Nodes
+		l.mu.Unlock()
 	}
 	return p.Owner && p.AgeMs < staleAfter.Milliseconds(), p.Owner
 }
@@ -365,24 +418,42 @@
 			l.setAddr(r.Addr)
 		}
 	}
+	if !l.free(row, r, answers && l.now()-asked > promptRead) {
+		return
+	}
+	delay := l.takeDelay()
+	clock.Sleep(ctx, delay)
+	if delay > lookAgain {
+		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		now, err := l.Rows.Get(readCtx, RightTable, "", rightKey)
+		cancel()
+		if err != nil || now.Version != row.Version {
+			return // another node was first
+		}
+	}
+	l.take(ctx, row, r)
+}
+
+// free reports whether this node may take the row; slow tells that the owner
+// answers and the store is slow.
+func (l *Lead) free(row rows.Row, r right, slow bool) bool {
+	if l.resigning.Load() || l.yielded != 0 && r.Released && l.now()-l.yielded < settleTime {
+		return false
+	}
 	own := r.Owner == l.Node && r.Addr == l.Addr && r.Nonce != l.nonce
 	limit := deadAfter
-	if answers && l.now()-asked > promptRead {
+	if slow {
 		limit = takeAfter
 	}
-	free := row.Version == 0 || r.Released || own || l.now()-l.seenAt >= limit
-	if !free || l.resigning.Load() || l.yielded != 0 && r.Released && l.now()-l.yielded < settleTime {
-		return
-	}
-	clock.Sleep(ctx, l.takeDelay())
-	l.take(ctx, row, r)
+	return row.Version == 0 || r.Released || own || l.now()-l.seenAt >= limit
 }
 
 // takeDelay is how long the node waits before it takes a free row: the larger
 // ones go first, and a node that knows of a much larger one gives it the time to
 // look, too.
 func (l *Lead) takeDelay() time.Duration {
-	d := rand.N(takeJitter) + time.Duration(float64(takeStep)/max(l.Cores, minCores))
+	jitter := takeJitter * time.Duration(max(1, l.Size()/takersAtOnce))
+	d := rand.N(jitter) + time.Duration(float64(takeStep)/max(l.Cores, minCores))
 	if l.others >= muchLarger*l.Cores && l.now()-l.othersAt < othersFor {
 		d += watchEvery
 	}
--- a/internal/lead/owner.go
+++ b/internal/lead/owner.go
@@ -169,27 +169,27 @@
 	return false
 }
 
-// start reads what the owner before left and begins to decide. Runs of an owner
-// that may still live are waited for longer than those of one that resigned.
+// start reads what the owner before left and then begins to decide; its row is
+// renewed meanwhile. Runs of an owner that may still live are waited for longer
+// than those of one that resigned.
 func (o *Owner) start(mayLive bool) {
+	o.spawn(o.loop)
 	o.spawn(func() {
-		after, ok := o.rebuild(mayLive)
-		if !ok {
+		left, ok := o.read()
+		if !ok || !o.ask(o.ctx, func() { o.rebuild(left, mayLive) }) {
 			return
 		}
-		o.spawn(func() { o.follow(after) })
+		o.spawn(func() { o.follow(left.work.Version) })
 		o.spawn(o.list)
 		if o.lead.Site != nil {
 			o.spawn(o.watchWaves)
 		}
-		o.loop()
 	})
 }
 
 func (o *Owner) loop() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	o.rebuilt.Store(true)
 	for {
 		select {
 		case <-o.ctx.Done():
@@ -232,7 +232,7 @@
 
 // turn decides, hands out stops, and sends the next transaction.
 func (o *Owner) turn() {
-	if began := o.lead.now(); o.passDue && began >= o.passAt && !o.quiet && o.plan != 0 && o.mayStart() && !o.stuck(began) {
+	if began := o.lead.now(); o.passDue && o.rebuilt.Load() && began >= o.passAt && !o.quiet && o.plan != 0 && o.mayStart() && !o.stuck(began) {
 		o.passDue = false
 		o.engine.Pass(o.moment())
 		now := o.lead.now()
@@ -261,27 +261,34 @@
 // could not be started for a while, and runs would be stopped for nothing.
 func (o *Owner) stuck(now time.Duration) bool { return o.flying && now-o.flownAt > stuckAfter }
 
-// rebuild reads all work and records; it reports the version from which the
-// feed of work goes on.
-func (o *Owner) rebuild(mayLive bool) (uint64, bool) {
-	started := o.lead.now()
-	work, ok := o.readAll(WorkTable, WorkPartNames())
-	if !ok {
-		return 0, false
+// left is what is stored when an owner begins. Work is read first, so that a
+// record without work is one whose work was removed.
+type left struct {
+	work, records, waves rows.Page
+}
+
+func (o *Owner) read() (l left, ok bool) {
+	if l.work, ok = o.readAll(WorkTable, WorkPartNames()); !ok {
+		return l, false
 	}
-	records, ok := o.readAll(RecordTable, []string{""})
-	if !ok {
-		return 0, false
+	if l.records, ok = o.readAll(RecordTable, []string{""}); !ok {
+		return l, false
 	}
-	if !o.restoreWaves() {
-		return 0, false
+	if o.lead.Site != nil {
+		l.waves, ok = o.readAll(UpkeepTable, []string{""})
 	}
-	stored := make(map[string][]byte, len(records.Rows))
-	for _, r := range records.Rows {
+	return l, ok
+}
+
+// rebuild takes in what is stored, in the loop; from then on the owner decides.
+func (o *Owner) rebuild(l left, mayLive bool) {
+	o.restoreWaves(l.waves)
+	stored := make(map[string][]byte, len(l.records.Rows))
+	for _, r := range l.records.Rows {
 		stored[r.Key] = r.Value
 	}
 	o.tick()
-	for _, r := range work.Rows {
+	for _, r := range l.work.Rows {
 		o.learn(r, stored[r.Key])
 		delete(stored, r.Key)
 	}
@@ -301,9 +308,9 @@
 			o.settled[ref] = settlement{run: run, at: -1}
 		}
 	}
+	o.rebuilt.Store(true)
 	o.lead.Log.Emit(event.LeadRebuilt).Int64("epoch", o.epoch).Int("jobs", len(o.work)).
-		Int64("took_ms", (o.lead.now() - started).Milliseconds()).Send()
-	return work.Version, true
+		Int64("took_ms", (o.lead.now() - o.since).Milliseconds()).Send()
 }
 
 func (o *Owner) workersWithRuns() map[string]bool {
@@ -337,7 +344,7 @@
 			return page, true
 		}
 		o.lead.Log.Emit(event.StoreFailed).Str("op", "read "+table).Err(err).Send()
-		if o.ctx.Err() != nil || o.age() > orderBound {
+		if o.ctx.Err() != nil || o.age() > orderBound || o.lead.now()-o.since > rebuildBound {
 			o.cancel()
 			return page, false
 		}
@@ -432,8 +439,13 @@
 
 // Accepted takes in work that a node has just made durable, ahead of the feed.
 func (o *Owner) Accepted(r rows.Row) {
+	learn := func() {
+		if o.rebuilt.Load() { // before that its record is not known
+			o.learnAll([]rows.Row{r})
+		}
+	}
 	select {
-	case o.inbox <- func() { o.learnAll([]rows.Row{r}) }:
+	case o.inbox <- learn:
 	default: // the feed brings it too
 	}
 }
--- a/internal/lead/store_test.go
+++ b/internal/lead/store_test.go
@@ -174,7 +174,7 @@
 }
 
 func (m *memStore) get(ctx context.Context, who, table, part, from, to string) (rows.Page, error) {
-	if err := m.asked(ctx, who, "get"); err != nil {
+	if err := m.asked(ctx, who, "get "+table); err != nil {
 		return rows.Page{}, err
 	}
 	m.mu.Lock()
--- a/internal/lead/upkeep.go
+++ b/internal/lead/upkeep.go
@@ -196,16 +196,12 @@
 	})
 }
 
-// restoreWaves reads the progress of waves that owners before have stored.
-func (o *Owner) restoreWaves() bool {
-	if o.lead.Site == nil {
-		return true
-	}
+// restoreWaves takes in the progress of waves that owners before have stored.
+func (o *Owner) restoreWaves(page rows.Page) {
 	turn := o.lead.Bounds.Turn
 	if turn == 0 {
 		turn = defaultTurn
 	}
-	page, ok := o.readAll(UpkeepTable, []string{""})
 	for _, r := range page.Rows {
 		n, err := strconv.ParseInt(r.Key, 10, 64)
 		if err == nil {
@@ -215,5 +211,4 @@
 			o.lead.Log.Emit(event.RowCorrupt).Str("table", UpkeepTable).Str("key", r.Key).Err(err).Send()
 		}
 	}
-	return ok
 }
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/samber/lo"
+
+	"greengageline/internal/clock"
 )
 
 var (
@@ -61,9 +64,15 @@
 	Feed func(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
 }
 
-// readsAtOnce bounds the reads of parts on their way, each of which takes a
-// connection.
-const readsAtOnce = 8
+const (
+	// readsAtOnce bounds the reads of parts on their way, each of which takes a
+	// connection.
+	readsAtOnce = 8
+	// partTries is how often the read of a part is tried that the store refuses,
+	// as it does beyond its rate; tryPause lies between, with as much jitter.
+	partTries = 4
+	tryPause  = 60 * time.Millisecond
+)
 
 // Parts reads several parts of a table at once; Version is the oldest at which
 // one was read, so that a feed from there misses nothing.
@@ -76,7 +85,14 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			pages[i], errs[i] = s.All(ctx, table, part)
+			for try := range partTries {
+				if try > 0 {
+					clock.Sleep(ctx, tryPause+rand.N(tryPause))
+				}
+				if pages[i], errs[i] = s.All(ctx, table, part); !errors.Is(errs[i], ErrRefused) {
+					break
+				}
+			}
 			<-slots
 		}()
 	}
