--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -50,9 +49,8 @@
 	// watchEvery is how often a node asks the owner whether it is well: a few
 	// times within deadAfter.
 	watchEvery = 250 * time.Millisecond
-	// watchEach is the time between two questions of all nodes together, some
-	// 500 a second: an answer takes the owner about 0.1 ms. Beyond 125 nodes each
-	// asks less often.
+	// watchEach is the time between two questions of all nodes together, as 125
+	// nodes ask at watchEvery; of more, each asks less often.
 	watchEach = 2 * time.Millisecond
 	// countSpan is how long the owner counts questions to tell how many nodes ask.
 	countSpan = time.Second
@@ -90,16 +88,16 @@
 	// queues up behind the first where the store is slow.
 	firstTry  = 600 * time.Millisecond
 	tryFactor = 2
-	// takeJitter spreads the nodes that find the row free at one moment; the
-	// larger ones go first by takeStep divided by their cores.
-	// There is as much jitter for each takersAtOnce nodes, as a part of the store
-	// takes 150 transactions a second and one at a time.
+	// takeJitter spreads the nodes that find the row free at one moment, and as
+	// much more for each takersAtOnce of them: a part of the store takes one
+	// transaction at a time, 150 a second. The larger nodes go first, by takeStep
+	// divided by their cores.
 	takeJitter   = 60 * time.Millisecond
 	takersAtOnce = 30
+	takeStep     = 60 * time.Millisecond
 	// lookAgain is the delay from which the row is read once more before it is
 	// taken: a read costs less than a transaction that fails.
 	lookAgain = 200 * time.Millisecond
-	takeStep  = 60 * time.Millisecond
 	// minCores bounds the delay of the smallest nodes.
 	minCores = 0.1
 	// muchLarger is from how many times an owner's cores another node should
@@ -258,61 +256,6 @@
 	return l.owner
 }
 
-// Pulse tells a node how this one stands; cores are those of the asking node, or
-// 0 if it could not own the work now.
-func (l *Lead) Pulse(cores float64) Pulse {
-	most := l.hear(cores)
-	o := l.Own()
-	if o == nil {
-		return Pulse{Addr: l.OwnerAddr()}
-	}
-	return Pulse{
-		Owner: true, Epoch: o.epoch, AgeMs: o.age().Milliseconds(), Version: o.committed.Load(), Addr: l.Addr, Most: most,
-		Nodes: l.count(),
-	}
-}
-
-// count counts a question and returns about how many nodes ask.
-func (l *Lead) count() int {
-	now := l.now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.asked++
-	switch span := now - l.askedAt; {
-	case span > 2*countSpan: // the first for a while
-		l.asked, l.askedAt = 1, now
-	case span >= countSpan:
-		l.nodes = int(float64(l.asked) * float64(watchInterval(l.nodes)) / float64(span))
-		l.asked, l.askedAt = 0, now
-	}
-	return l.nodes
-}
-
-// watchInterval is how often each of a number of nodes asks the owner.
-func watchInterval(nodes int) time.Duration { return max(watchEvery, time.Duration(nodes)*watchEach) }
-
-// Size returns about how many nodes there are; 0 before an owner has told.
-func (l *Lead) Size() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.nodes
-}
-
-// hear notes the cores of a node that asked and returns the most that one had
-// within settleTime.
-func (l *Lead) hear(cores float64) float64 {
-	now := l.now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if cores > 0 && (cores >= l.most || now-l.mostAt > settleTime) {
-		l.most, l.mostAt = cores, now
-	}
-	if now-l.mostAt > settleTime {
-		return 0
-	}
-	return l.most
-}
-
 // Run watches the ownership and takes it when it is free, until ctx ends; an
 // owner ends with it.
 func (l *Lead) Run(ctx context.Context) {
@@ -368,131 +311,6 @@
 	l.seenNow = false
 }
 
-// ownerWell asks the node that was last known as the owner.
-func (l *Lead) ownerWell(ctx context.Context) (well, answers bool) {
-	addr := l.OwnerAddr()
-	if addr == "" || addr == l.Addr {
-		return false, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	asked := l.now()
-	p, err := l.Ask(ctx, addr)
-	if err != nil {
-		return false, false
-	}
-	if p.Owner {
-		l.told, l.toldAt = p.Version, asked-time.Duration(p.AgeMs)*time.Millisecond
-		l.others, l.othersAt = p.Most, asked
-		l.mu.Lock()
-		l.nodes = p.Nodes
-		l.mu.Unlock()
-	}
-	return p.Owner && p.AgeMs < staleAfter.Milliseconds(), p.Owner
-}
-
-// look reads the row and takes it if it is free: absent, released, or unchanged
-// for too long while the store answered.
-func (l *Lead) look(ctx context.Context, answers bool) {
-	asked := l.now()
-	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	row, err := l.Rows.Get(readCtx, RightTable, "", rightKey)
-	cancel()
-	if err != nil {
-		l.seenNow = false
-		return
-	}
-	var r right
-	if row.Version != 0 {
-		if err := json.Unmarshal(row.Value, &r); err != nil {
-			l.Log.Emit(event.RowCorrupt).Str("table", RightTable).Str("key", rightKey).Err(err).Send()
-			return
-		}
-	}
-	if !l.seenNow || row.Version != l.seen.Version {
-		l.seen, l.seenAt, l.seenNow = row, l.now(), true
-		if row.Version != 0 && row.Version == l.told {
-			l.seenAt = l.toldAt // the owner has told since when it stands
-		}
-		if r.Owner != "" && !r.Released {
-			l.setAddr(r.Addr)
-		}
-	}
-	if !l.free(row, r, answers && l.now()-asked > promptRead) {
-		return
-	}
-	delay := l.takeDelay()
-	clock.Sleep(ctx, delay)
-	if delay > lookAgain {
-		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		now, err := l.Rows.Get(readCtx, RightTable, "", rightKey)
-		cancel()
-		if err != nil || now.Version != row.Version {
-			return // another node was first
-		}
-	}
-	l.take(ctx, row, r)
-}
-
-// free reports whether this node may take the row; slow tells that the owner
-// answers and the store is slow.
-func (l *Lead) free(row rows.Row, r right, slow bool) bool {
-	if l.resigning.Load() || l.yielded != 0 && r.Released && l.now()-l.yielded < settleTime {
-		return false
-	}
-	own := r.Owner == l.Node && r.Addr == l.Addr && r.Nonce != l.nonce
-	limit := deadAfter
-	if slow {
-		limit = takeAfter
-	}
-	return row.Version == 0 || r.Released || own || l.now()-l.seenAt >= limit
-}
-
-// takeDelay is how long the node waits before it takes a free row: the larger
-// ones go first, and a node that knows of a much larger one gives it the time to
-// look, too.
-func (l *Lead) takeDelay() time.Duration {
-	jitter := takeJitter * time.Duration(max(1, l.Size()/takersAtOnce))
-	d := rand.N(jitter) + time.Duration(float64(takeStep)/max(l.Cores, minCores))
-	if l.others >= muchLarger*l.Cores && l.now()-l.othersAt < othersFor {
-		d += watchEvery
-	}
-	return d
-}
-
-// take rewrites the row with the next epoch, on condition that it has not
-// changed since it was read.
-func (l *Lead) take(ctx context.Context, row rows.Row, before right) {
-	mine := right{Owner: l.Node, Addr: l.Addr, Epoch: before.Epoch + 1, Nonce: l.nonce, N: 1}
-	value, err := json.Marshal(mine)
-	if err != nil {
-		return
-	}
-	sent := l.now()
-	ctx2, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	version, _, err := l.Rows.Commit(ctx2, rows.Txn{
-		If:  []rows.Row{{Table: RightTable, Key: rightKey, Version: row.Version}},
-		Put: []rows.Row{{Table: RightTable, Key: rightKey, Value: value}},
-	})
-	if err != nil {
-		// A write without an answer may still have taken effect: the next look
-		// then finds the row unchanged and takes it over again.
-		if !errors.Is(err, rows.ErrConflict) {
-			l.Log.Emit(event.StoreFailed).Str("op", "take").Err(err).Send()
-		}
-		return
-	}
-	o := newOwner(l, mine, version, sent)
-	l.Log.Emit(event.LeadTaken).Int64("epoch", mine.Epoch).Str("before", before.Owner).Bool("released", before.Released).
-		Int64("unchanged_ms", (l.now() - l.seenAt).Milliseconds()).Send()
-	l.setAddr(l.Addr)
-	l.mu.Lock()
-	l.owner = o
-	l.mu.Unlock()
-	o.start(before.Owner != "" && !before.Released)
-}
-
 // Resign hands the ownership on, if this node has it, and never takes it again.
 func (l *Lead) Resign(ctx context.Context) {
 	l.resigning.Store(true)
