--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -174,6 +174,8 @@
 	shop        *shop
 	owner, edge *Node
 	reach       atomic.Bool // calls between the nodes pass
+	// larger makes the other node tell four times its cores.
+	larger atomic.Bool
 
 	mu sync.Mutex
 	// plans is guarded by mu.
@@ -259,7 +261,12 @@
 	var reply any
 	switch method {
 	case "Pulse":
-		pulse := n.Lead.Pulse(in.(*pulseIn).Cores)
+		asked := in.(*pulseIn)
+		cores := asked.Cores
+		if asked.From == "edge" && p.larger.Load() {
+			cores *= 4
+		}
+		pulse := n.Lead.Pulse(cores)
 		reply = &pulse
 	case "Note":
 		var v noteIn
@@ -427,11 +434,11 @@
 func TestWorkStaysWhereTheLargerNodeHasNoStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		p := begin(t, func(p *pair) {
-			p.edge.Lead.Cores = 4
-			p.shop.cut(refused)
-		})
-		time.Sleep(15 * time.Second)
+		p := begin(t)
+		p.shop.cut(refused)
+		time.Sleep(5 * time.Second)
+		p.larger.Store(true)
+		time.Sleep(10 * time.Second)
 		is.True(p.owner.Lead.Own() != nil)
 		is.Equal(p.owner.Lead.Pulse(0).Epoch, int64(1))
 		p.shop.cut(nil)
