--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -332,20 +332,14 @@
 		is := is.New(t)
 		w, _, stop := begin(2, 1)
 		defer stop()
-		for _, m := range w.workers {
-			m.takes.set(time.Minute)
-		}
+		w.takeLong(time.Minute)
 		w.submit("a", "bulk", oneGPU(4))
 		time.Sleep(time.Second)
 		is.Equal(w.state("a"), sched.Running)
 		w.cancel("a")
 		time.Sleep(2 * time.Second)
 		is.Equal(w.state("a"), sched.Cancelled)
-		for _, m := range w.workers {
-			m.mu.Lock()
-			is.Equal(len(m.runs), 0) // nothing runs on
-			m.mu.Unlock()
-		}
+		is.Equal(w.running(), 0) // nothing runs on
 	})
 }
 
@@ -370,9 +364,7 @@
 		is := is.New(t)
 		w, nodes, stop := begin(2, 3)
 		defer stop()
-		for _, m := range w.workers {
-			m.takes.set(time.Minute)
-		}
+		w.takeLong(time.Minute)
 		w.submit("a", "bulk", oneGPU(4))
 		time.Sleep(time.Second)
 		owner(nodes).Resign(context.Background())
@@ -380,11 +372,7 @@
 		w.store.took.set(300 * time.Millisecond) // the list comes after the first tick
 		time.Sleep(8 * time.Second)
 		is.Equal(w.state("a"), sched.Cancelled)
-		for _, m := range w.workers {
-			m.mu.Lock()
-			is.Equal(len(m.runs), 0) // nothing runs on
-			m.mu.Unlock()
-		}
+		is.Equal(w.running(), 0) // nothing runs on
 	})
 }
 
@@ -448,9 +436,7 @@
 		is := is.New(t)
 		w, _, stop := begin(2, 1)
 		defer stop()
-		for _, m := range w.workers {
-			m.takes.set(20 * time.Second)
-		}
+		w.takeLong(20 * time.Second)
 		w.submit("bulk", "bulk", oneGPU(16))
 		time.Sleep(time.Second)
 		from := w.now()
--- a/internal/lead/world_test.go
+++ b/internal/lead/world_test.go
@@ -178,6 +178,24 @@
 	return w.workers[id]
 }
 
+// takeLong lets every run that begins from now on take a time.
+func (w *world) takeLong(d time.Duration) {
+	for _, m := range w.workers {
+		m.takes.set(d)
+	}
+}
+
+// running counts the runs at all workers.
+func (w *world) running() int {
+	n := 0
+	for _, m := range w.workers {
+		m.mu.Lock()
+		n += len(m.runs)
+		m.mu.Unlock()
+	}
+	return n
+}
+
 func (w *world) entries() []orders.Entry {
 	w.atWork.Lock()
 	defer w.atWork.Unlock()
