--- a/internal/lead/take_test.go
+++ b/internal/lead/take_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,15 +100,13 @@
 		w, nodes, stop := begin(2, 3)
 		defer stop()
 		old := owner(nodes)
-		next := ""
+		var next atomic.Pointer[string]
 		w.store.refuse.set(func(who, op string) error {
 			if op != "get "+WorkTable || who == "test" {
 				return nil
 			}
-			if next == "" {
-				next = who
-			}
-			if who == next {
+			next.CompareAndSwap(nil, &who)
+			if who == *next.Load() {
 				return rows.ErrRefused
 			}
 			return nil
@@ -116,7 +115,7 @@
 		ids := w.submitAll(3)
 		time.Sleep(rebuildBound + 6*time.Second)
 		is.True(owner(nodes) != nil)
-		is.True(owner(nodes).Node != next)
+		is.True(owner(nodes).Node != *next.Load())
 		w.await(t, ids, settleLimit)
 		is.Equal(w.faults, nil)
 	})
