Say that a job is absent or untouched only where that was shown

Cause: an owner knows open jobs only. Where it said ErrAbsent and the read of the table then failed, jobOnce returned the owner's error, so that a caller heard 404 and 'ran: no' of a job that had ended. A cancellation whose first try lost its answer and whose last try found no owner was told as 'ran: no'; so was one that a busy owner carried out after its caller had stopped waiting. A request to an owner that heartbeats had shown to be silent was sent all the same, and left its outcome unknown.

Ruled out: the edge stack. Its 410 comes after a successful read of the job's row (ReadJobState), its 503 only after writes that were refused or not sent, 504 otherwise.

--- a/internal/cell/api.go
+++ b/internal/cell/api.go
@@ -208,7 +208,8 @@
 }
 
 // Cancel requests the cancellation of an open job and returns before it has ended. The
-// final state of the job shows whether it was cancelled or ended first.
+// final state of the job shows whether it was cancelled or ended first. After
+// ErrOutcomeUnknown the loop may still carry out the cancellation.
 func (o *Owner) Cancel(ctx context.Context, id string) error {
 	m := cancelRequest{id, make(chan error, 1)}
 	if err := o.tryPost(m); err != nil {
@@ -218,9 +219,9 @@
 	case err := <-m.reply:
 		return err
 	case <-o.ctx.Done():
-		return ErrNotOwner
+		return fmt.Errorf("%w: the owner ended", ErrOutcomeUnknown)
 	case <-ctx.Done():
-		return ErrNotReady
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
 	}
 }
 
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -61,6 +61,8 @@
 	attempt         int // number of the newest attempt, committed or not
 	epochAttempts   int
 	unresolvedSince time.Time
+	// queriedAt is when the workers of unresolved members were queried last.
+	queriedAt time.Time
 	// startSentAt is when the answers to the start orders were in, or the job was
 	// restored. Renewals that were sent before it say nothing about its members.
 	startSentAt   time.Time
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -280,9 +280,17 @@
 	return "no error was reported"
 }
 
-// queryUnresolved sends a query to the worker of each unresolved member. The answers arrive
-// as lookupResult messages, which evaluate the job anew.
+// unresolvedQueryInterval is the time between two queries about the unresolved members of a job.
+// An unresolved outcome may take until UnknownAfter, so a query a second loses nothing.
+const unresolvedQueryInterval = time.Second
+
+// queryUnresolved sends a query to the worker of each unresolved member, at intervals. The answers
+// arrive as lookupResult messages, which evaluate the job anew.
 func (o *Owner) queryUnresolved(j *openJob) {
+	if time.Since(j.queriedAt) < unresolvedQueryInterval {
+		return
+	}
+	j.queriedAt = time.Now()
 	for i := range j.members {
 		if m := &j.members[i]; isUnresolved(*m) {
 			o.lookUp(j, m)
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
 	"net/url"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"greengageline/internal/admin"
 	"greengageline/internal/cell"
+	"greengageline/internal/clock"
 	"greengageline/internal/node"
 	"greengageline/internal/place"
 )
@@ -136,9 +139,15 @@
 		})
 }
 
-// runDrain asks the node at addr to drain and waits up to timeout until it no longer
-// answers status requests. Any failed status request, even one that timed out, counts as
-// stopped.
+const (
+	// drainPollInterval is the time between two status requests to a draining node.
+	drainPollInterval = 200 * time.Millisecond
+	// drainPollTimeout bounds one status request to a draining node.
+	drainPollTimeout = time.Second
+)
+
+// runDrain asks the node at addr to drain and waits up to timeout until it refuses connections.
+// A status request that fails in another way does not show that the node has stopped.
 func (a *app) runDrain(ctx context.Context, addr string, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -146,11 +155,18 @@
 	if err := a.client().Do(ctx, http.MethodPost, "/v1/drain", nil, nil); err != nil {
 		return err
 	}
+	var last error
 	for ctx.Err() == nil {
-		if _, err := a.status(ctx, addr); err != nil {
+		pollCtx, cancelPoll := context.WithTimeout(ctx, drainPollTimeout)
+		_, last = a.status(pollCtx, addr)
+		cancelPoll()
+		if errors.Is(last, syscall.ECONNREFUSED) {
 			return a.print(map[string]string{"stopped": addr}, func() string { return addr + " has stopped" })
 		}
-		time.Sleep(200 * time.Millisecond)
+		clock.Sleep(ctx, drainPollInterval)
+	}
+	if last != nil {
+		return fmt.Errorf("%s was not seen to stop within %s: %w", addr, timeout, last)
 	}
 	return fmt.Errorf("%s is still draining after %s", addr, timeout)
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -71,8 +71,9 @@
 }
 
 // ownerClient returns the client for the owner with the highest known epoch, from the table or
-// from the heartbeats of live peers. It returns nil if no owner is known or the owner is this
-// node.
+// from the heartbeats of live peers. It returns nil if no owner is known, or the owner is this
+// node or a suspected one: a request to a node that does not answer would only leave its outcome
+// unknown.
 func (n *Node) ownerClient(k *runningLeaseManager) *peer.Client {
 	right := k.LastOwnership()
 	for _, b := range n.mesh.live() {
@@ -82,7 +83,7 @@
 			}
 		}
 	}
-	if right.Addr == "" || right.Owner == n.Settings.Node {
+	if right.Addr == "" || right.Owner == n.Settings.Node || n.mesh.suspected(right.Addr) {
 		return nil
 	}
 	return n.mesh.client(right.Addr)
@@ -210,10 +211,10 @@
 	if err == nil {
 		return job, nil
 	}
-	if stored, storedErr := n.loadStored(ctx, id); storedErr == nil {
-		return stored, nil
-	} else if errors.Is(storedErr, cell.ErrAbsent) {
-		return job, storedErr
+	stored, storedErr := n.loadStored(ctx, id)
+	// An owner knows open jobs only, so its ErrAbsent says nothing of a job that has ended.
+	if storedErr == nil || errors.Is(storedErr, cell.ErrAbsent) || errors.Is(err, cell.ErrAbsent) {
+		return stored, storedErr
 	}
 	return job, err
 }
@@ -274,24 +275,33 @@
 }
 
 // Cancel asks the owner to cancel a job and returns the job's state. It tries again until ctx
-// ends while the owner is not reached.
+// ends while the owner is not reached. After ErrOutcomeUnknown the job may have been cancelled.
 func (n *Node) Cancel(ctx context.Context, id string) (model.Job, error) {
 	k := n.leaseManager(model.CellOf(id))
 	if k == nil {
 		return n.loadStored(ctx, id)
 	}
+	mayBeCancelled := false
 	for {
 		job, err := n.askOwner(ctx, k, &peer.JobRequest{ID: id, Cancel: true})
 		if err == nil {
 			return job, nil
 		}
+		mayBeCancelled = mayBeCancelled || errors.Is(err, cell.ErrOutcomeUnknown)
 		if errors.Is(err, cell.ErrAbsent) {
-			return n.loadStored(ctx, id)
+			job, err = n.loadStored(ctx, id)
 		}
-		sleep(ctx, ownerRetryDelay)
-		if !retryable(err) || ctx.Err() != nil {
+		if !retryable(err) {
 			return job, err
 		}
+		sleep(ctx, ownerRetryDelay)
+		if ctx.Err() == nil {
+			continue
+		}
+		if mayBeCancelled && !errors.Is(err, cell.ErrOutcomeUnknown) {
+			return job, fmt.Errorf("%w: %w", cell.ErrOutcomeUnknown, err)
+		}
+		return job, err
 	}
 }
 
--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -63,6 +63,14 @@
 	return m.stateLocked(addr).client
 }
 
+// suspected reports whether the peer at an address is suspected.
+func (m *mesh) suspected(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[addr]
+	return p != nil && p.suspect
+}
+
 // stateLocked returns the state for an address and creates it if necessary; m.mu must be held.
 func (m *mesh) stateLocked(addr string) *peerState {
 	if m.peers == nil {
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -74,15 +74,21 @@
 	return s, l.Addr().String()
 }
 
-// freeAddr returns a local address that was free just now; another process could still take it.
-func freeAddr(t testing.TB) string {
+// Ports of a node process, on a loopback address of its own.
+const (
+	callerPort = 7000
+	peerPort   = 7001
+)
+
+// reserveIP returns a loopback address that no other test has until the test ends.
+func reserveIP(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip, release, err := fakes.ReserveIP()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(release)
+	return ip
 }
 
 // newProcessCluster starts nodes and workers, stores baseConfig and waits for an owner. It skips the
@@ -99,7 +105,11 @@
 	}
 	var peers []string
 	for i := range nodes {
-		p := &nodeProcess{name: fmt.Sprintf("n%d", i+1), listen: freeAddr(t), peer: freeAddr(t)}
+		ip := reserveIP(t)
+		p := &nodeProcess{
+			name:   fmt.Sprintf("n%d", i+1),
+			listen: fmt.Sprintf("%s:%d", ip, callerPort), peer: fmt.Sprintf("%s:%d", ip, peerPort),
+		}
 		p.platformProxy, p.peerProxy = newProxy(t, realPlatformAddr), newProxy(t, p.peer)
 		p.logPath = filepath.Join(t.TempDir(), p.name+".log")
 		peers = append(peers, p.peerProxy.addr())
