Let long-running tasks start on workers that are being drained

Cause: a wave of upkeep closes twice as many workers as may be down. On a pool that long-running work fills, the only room lies in pieces on these workers, and a task that was stopped for urgent work waited up to 20 s beside it (LOST).

Ruled out: quarantine, reservations and the bound per worker (counts of free room by the state of its worker, on a copy: it lay on closed workers and on one whose VM was down).

Change: a worker that is being drained is told from one that goes down. Long-running tasks that find no other room may start on the first; when it has to be empty they are stopped like those that run there. Other work does not start there. Pure test TestLongRunningTaskUsesRoomOnDrainingWorkers; it does not compile before the change, as the state did not exist.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -361,7 +361,9 @@
 func (o *Owner) updateWorker(s *session) {
 	w := s.entry.Worker
 	w.Silent = s.silent || s.entry.Addr == ""
-	w.Leaving = w.Leaving || !s.listed || o.waves.closedWorkers[s.entry.ID]
+	closed := o.waves.closedWorkers[s.entry.ID]
+	w.Leaving = w.Leaving || !s.listed || closed == goingDown
+	w.Draining = closed == draining
 	o.engine.SetWorker(w)
 }
 
--- a/internal/leader/upkeep.go
+++ b/internal/leader/upkeep.go
@@ -46,11 +46,22 @@
 	dirtyRecords   map[int64]upkeep.Record
 	pendingUpkeeps []upkeep.Step
 	// closedWorkers are the workers that get no new tasks because of an upkeep.
-	closedWorkers map[string]bool
+	closedWorkers map[string]closure
 	// reported is the status last reported to the operator for each wave.
 	reported map[int64]string
 }
 
+// closure is how far a worker is closed because of an upkeep.
+type closure int
+
+// The closures. A worker that drains may still get long-running tasks that find no other room; one that goes
+// down gets none.
+const (
+	notClosed closure = iota
+	draining
+	goingDown
+)
+
 // watchWaves reads the waves and, while one is open, the VMs, until the owner ends.
 func (o *Owner) watchWaves() {
 	site := o.lead.Site
@@ -100,24 +111,26 @@
 // upkeep.
 func (o *Owner) planUpkeep() {
 	now := o.moment()
-	closed := lo.SliceToMap(o.waves.planner.WorkersGoingDown(), func(id string) (string, bool) { return id, true })
+	closed := lo.SliceToMap(o.waves.planner.WorkersGoingDown(), func(id string) (string, closure) { return id, goingDown })
 	if now.Steady-o.waves.vmsListedAt > vmListMaxAge || o.waves.vmsListedAt == 0 || !o.mayStart() || o.releasing {
 		// Nothing is decided on an old list; closed workers stay closed.
 		if o.waves.planner.HasOpenWaves() {
-			closed = lo.Assign(closed, o.waves.closedWorkers)
+			closed = lo.Assign(o.waves.closedWorkers, closed)
 		}
 		o.setClosedWorkers(closed)
 		o.collectWaveRecords()
 		return
 	}
 	for _, s := range o.waves.planner.Next(func(id string) sched.Load { return o.engine.Load(id, now) }, now) {
-		closed[s.Worker] = true
-		if s.Begin {
+		switch {
+		case s.Begin:
+			closed[s.Worker] = goingDown
 			o.waves.pendingUpkeeps = append(o.waves.pendingUpkeeps, s)
-			continue
-		}
-		if s.Stop {
-			o.engine.DrainWorker(s.Worker, "its VM is due for upkeep")
+		default:
+			closed[s.Worker] = max(closed[s.Worker], draining)
+			if s.Stop {
+				o.engine.DrainWorker(s.Worker, "its VM is due for upkeep")
+			}
 		}
 	}
 	o.setClosedWorkers(closed)
@@ -125,7 +138,7 @@
 }
 
 // setClosedWorkers makes closed the set of workers that get no new tasks.
-func (o *Owner) setClosedWorkers(closed map[string]bool) {
+func (o *Owner) setClosedWorkers(closed map[string]closure) {
 	before := o.waves.closedWorkers
 	o.waves.closedWorkers = closed
 	for id, s := range o.sessions {
--- a/internal/sched/drain_test.go
+++ b/internal/sched/drain_test.go
@@ -164,3 +164,35 @@
 	}
 	is.Equal(jobs, map[string]int{"a": 1, "b": 1})
 }
+
+// Pattern: a wave of upkeep on a full pool. The only room lies in pieces on workers that are being drained,
+// where a long-running task may start; other work may not.
+func TestLongRunningTaskUsesRoomOnDrainingWorkers(t *testing.T) {
+	cases := map[string]struct {
+		leaving, draining, lasts bool
+		want                     int
+	}{
+		"long-running, draining":   {false, true, true, 1},
+		"long-running, going down": {true, false, true, 0},
+		"other work, draining":     {false, true, false, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEngine(2)
+			addLongRunning(e, "s", 3, 1) // half of one worker is left
+			for _, w := range e.sortedWorkers {
+				if w.free().Accelerators > 0 {
+					d := w.Worker
+					d.Leaving, d.Draining = c.leaving, c.draining
+					e.SetWorker(d)
+				}
+			}
+			add(e, "t", "bulk", model.Step{
+				Tasks: 1, Lasts: c.lasts, EstimateMs: 1000, Each: model.Room{Millicores: 1000, MemoryMB: 1000, Accelerators: 4},
+			})
+			e.Pass(moment(time.Second))
+			is.Equal(len(starts(e.TakeOrders())), c.want)
+		})
+	}
+}
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -16,6 +16,8 @@
 	step    *model.Step
 	queue   model.Queue
 	waiting []int // indexes of the tasks to place
+	// onDraining is set while the group may use workers that are being drained.
+	onDraining bool
 	// guaranteed is set for urgent work within its workspace's guarantee.
 	guaranteed bool
 	lateness   lateness
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"greengageline/pkg/model"
 )
 
@@ -159,12 +161,33 @@
 			return false
 		}
 	}
-	if e.placeEach(g, now) {
+	if e.placeEach(g, now) || g.step.Lasts && e.placeOnDraining(g, now) {
 		return true
 	}
 	return e.preempt(g, now)
 }
 
+// placeOnDraining places waiting long-running tasks on workers that are being drained, and reports whether
+// all were placed. Such a task must run wherever there is room; when its worker has to be empty it is
+// stopped like those that run there already.
+func (e *Engine) placeOnDraining(g *group, now Moment) bool {
+	draining := lo.Filter(e.sortedWorkers, func(w *worker, _ int) bool { return w.Pool == g.queue.Pool && w.Draining })
+	if len(draining) == 0 {
+		return false
+	}
+	all := g.waiting
+	g.onDraining = true
+	for _, i := range all {
+		g.waiting = []int{i}
+		if placement := assign(g, e.candidates(g, draining, now), (*worker).free); placement != nil {
+			e.start(g, placement, now)
+		}
+	}
+	g.onDraining = false
+	g.waiting = lo.Filter(all, func(i, _ int) bool { return g.batch.Tasks[i].Phase == Waiting })
+	return len(g.waiting) == 0
+}
+
 // placeMissingMembers places the missing members of an incomplete gang, on the rack of the others if
 // possible where the step asks for one rack.
 func (e *Engine) placeMissingMembers(g *group, now Moment) bool {
@@ -341,7 +364,7 @@
 // capacity is free. With healthyOnly, workers with failures since their last success or on which one of
 // the waiting tasks failed last are left out.
 func (g *group) eligible(w *worker, healthyOnly bool, now Moment) bool {
-	if !w.schedulable(now) || w.Room.Times(g.step.Need(), 1) == 0 {
+	if !w.schedulable(now) && !(g.onDraining && w.responsive(now)) || w.Room.Times(g.step.Need(), 1) == 0 {
 		return false
 	}
 	if g.step.Label != "" && !slices.Contains(w.Labels, g.step.Label) {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -161,9 +161,12 @@
 	Rack   string
 	Labels []string
 	Room   model.Room
-	// Leaving is set for a worker that is to get no new work because it is shutting down or being
-	// drained.
+	// Leaving is set for a worker that is to get no new work because it is shutting down or is about to
+	// be taken down.
 	Leaving bool
+	// Draining is set for a worker that gets no new work so that it becomes empty. Only long-running
+	// tasks that find no other room may start there.
+	Draining bool
 	// Silent is set while the worker does not answer; it then gets no new work.
 	Silent bool
 }
@@ -190,7 +193,10 @@
 func (w *worker) free() model.Room { return w.Room.Minus(w.used, 1).Minus(w.reserved, 1) }
 
 // schedulable reports whether the worker may get new work.
-func (w *worker) schedulable(now Moment) bool {
+func (w *worker) schedulable(now Moment) bool { return !w.Draining && w.responsive(now) }
+
+// responsive reports whether the worker would carry out a start.
+func (w *worker) responsive(now Moment) bool {
 	return !w.Leaving && !w.Silent && now.Steady >= w.blockedUntil
 }
 
