Settle transactions without an answer by reading the row that they write

While the store was slow, the first attempt was given up after 600 ms although it answered after 690 ms, and the second queued behind it: ends of runs from 2.0 s on were recorded at 4.15 s. At the store's return after an outage of 3 s others took the row at once, though its owner had answered all their polls.

Ruled out: workers (none silent), starts without an answer (none).

Change: rows.CommitKnown keeps an attempt in flight and reads the row that it writes: applied, still pending or overtaken. Only a row that still holds the condition, read fast, after 250 ms (owner) or 600 ms (nodes), brings another attempt. Owner, takeover and nodes use it. An owner that answers polls is given the takeover age from the store's return on.

--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -50,6 +51,10 @@
 	// maxWriteTries limits the write attempts for one request. After that the caller has to
 	// retry.
 	maxWriteTries = 2
+	// minProbeDelay is how long a write may take before its row is read to find out whether it took effect:
+	// some ten times the usual duration. After a slow write it is probeDelayFactor times what that took.
+	minProbeDelay    = 100 * time.Millisecond
+	probeDelayFactor = 2
 	// writeRetryDelay is the shortest delay before the second attempt; random jitter of up to
 	// the same length is added.
 	writeRetryDelay = 30 * time.Millisecond
@@ -77,10 +82,7 @@
 	}
 	row := rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(w.ID), Key: w.ID, Value: value}
 	started := n.now()
-	repeated, err := n.commitIfAbsent(ctx, rows.Txn{
-		Conditions: []rows.Row{{Table: row.Table, Part: row.Part, Key: row.Key}},
-		Put:        []rows.Row{row},
-	})
+	repeated, err := n.commitIfAbsent(ctx, row)
 	if err != nil {
 		return err
 	}
@@ -98,21 +100,24 @@
 	return nil
 }
 
-// commitIfAbsent commits a transaction that is conditional on a row's absence, with a limited
-// number of attempts. repeated reports that the row already existed.
-func (n *Node) commitIfAbsent(ctx context.Context, txn rows.Txn) (repeated bool, err error) {
-	unclear := false
+// commitIfAbsent writes a row if it is absent, with a limited number of attempts while the store refuses it.
+// repeated reports that the row already existed.
+func (n *Node) commitIfAbsent(ctx context.Context, row rows.Row) (repeated bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, maxWriteTries*writeTryTimeout)
+	defer cancel()
+	absent := rows.Row{Table: row.Table, Part: row.Part, Key: row.Key}
+	txn := rows.Txn{Conditions: []rows.Row{absent}, Put: []rows.Row{row}}
+	probe := rows.Probe{
+		Row: absent, Timeout: writeTryTimeout, After: max(minProbeDelay, probeDelayFactor*time.Duration(n.lastWriteTook.Load())),
+		Applied:  func(r rows.Row) bool { return bytes.Equal(r.Value, row.Value) },
+		Answered: func(err error) { n.recordWriteResult(ctx, err) },
+	}
 	for try := range maxWriteTries {
 		if try > 0 {
 			clock.Sleep(ctx, writeRetryDelay+rand.N(writeRetryDelay))
 		}
 		sent := n.now()
-		tryCtx, cancel := context.WithTimeout(ctx, writeTryTimeout)
-		_, _, err = n.Rows.Commit(tryCtx, txn)
-		cancel()
-		if ctx.Err() == nil {
-			n.recordStoreResult(err)
-		}
+		_, _, err = n.Rows.CommitKnown(ctx, txn, probe)
 		switch {
 		case err == nil:
 			n.lastWriteTook.Store(int64(n.now() - sent))
@@ -120,18 +125,23 @@
 		case errors.Is(err, rows.ErrConflict):
 			return true, nil
 		case errors.Is(err, rows.ErrOutcomeUnknown):
-			unclear = true
+			return false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	if unclear {
-		return false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-	}
 	return false, fmt.Errorf("%w: %w", ErrBusy, err)
 }
 
+// recordWriteResult records the result of a call to the store, unless the call was cut short by ctx, which says
+// nothing about the store.
+func (n *Node) recordWriteResult(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		n.recordStoreResult(err)
+	}
+}
+
 // cancel stores a job's cancellation; found reports whether the job is known. The cancellation
 // of an unknown job is stored too, because the job may still be in the process of being
 // accepted.
@@ -141,7 +151,7 @@
 		return false, fmt.Errorf("%w: %w", ErrBusy, err)
 	}
 	row := rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(id), Key: id + leader.CancelSuffix, Value: []byte("{}")}
-	if _, err := n.commitIfAbsent(ctx, rows.Txn{Conditions: []rows.Row{{Table: row.Table, Part: row.Part, Key: row.Key}}, Put: []rows.Row{row}}); err != nil {
+	if _, err := n.commitIfAbsent(ctx, row); err != nil {
 		return false, err
 	}
 	if o := n.Candidate.LocalOwner(); o != nil {
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -127,57 +127,45 @@
 		o.cancel()
 		return
 	}
-	t.txn.Conditions = []rows.Row{{Table: OwnershipTable, Key: ownershipKey, Version: o.rowVersion}}
+	lead := rows.Row{Table: OwnershipTable, Key: ownershipKey, Version: o.rowVersion}
+	t.txn.Conditions = []rows.Row{lead}
 	t.txn.Put = append(t.txn.Put, rows.Row{Table: OwnershipTable, Key: ownershipKey, Value: value})
-	limit := min(max(firstCommitTimeout, commitTimeoutFactor*o.lastTxnTook), storeTimeout)
-	began := o.lead.now()
+	probe := rows.Probe{
+		Row: lead, Applied: func(r rows.Row) bool { return t.row.isStored(r) }, Timeout: storeTimeout, Resend: resendDelay,
+		After: min(max(minProbeDelay, probeDelayFactor*o.lastTxnTook), storeTimeout),
+		Answered: func(err error) {
+			if err != nil && !errors.Is(err, rows.ErrConflict) {
+				o.lead.Metrics.storeFailed()
+				o.lead.Log.Emit(event.StoreFailed).Str("op", "commit").Int64("n", t.row.N).Int64("age_ms", o.commitAge().Milliseconds()).Err(err).Send()
+			}
+		},
+	}
 	for pause := retryPauseMin; o.ctx.Err() == nil; pause = min(2*pause, retryPauseMax) {
 		t.sent = o.lead.now()
-		ctx, cancel := context.WithTimeout(o.ctx, limit)
-		limit = min(2*limit, storeTimeout)
-		version, present, err := o.lead.Rows.Commit(ctx, t.txn)
-		cancel()
-		if errors.Is(err, rows.ErrConflict) {
-			version, err = o.checkConflict(t, present)
-		}
+		version, _, err := o.lead.Rows.CommitKnown(o.ctx, t.txn, probe)
 		if err == nil {
 			o.committedAt.Store(int64(t.sent))
 			o.committedVersion.Store(version)
-			took := o.lead.now() - began
+			took := o.lead.now() - t.sent
 			o.post(func() {
 				o.lastTxnTook = took
 				o.applyCommitted(t, version)
 			})
 			return
 		}
-		if errors.Is(err, errOwnershipLost) {
+		if errors.Is(err, rows.ErrConflict) {
 			o.lead.Log.Emit(event.LeadLost).Int64("epoch", o.epoch).Str("reason", "another node has taken the ownership").Send()
 			o.cancel()
 			return
 		}
-		o.lead.Metrics.storeFailed()
-		o.lead.Log.Emit(event.StoreFailed).Str("op", "commit").Int64("n", t.row.N).Int64("age_ms", o.commitAge().Milliseconds()).Err(err).Send()
 		clock.Sleep(o.ctx, pause)
 	}
 }
 
-// errOwnershipLost means that another node has taken the ownership.
-var errOwnershipLost = errors.New("ownership lost")
-
-// checkConflict determines after a conflict whether an earlier attempt of the same transaction has taken
-// effect, and returns the version of that write. Otherwise another node has the ownership, and the error is
-// errOwnershipLost.
-func (o *Owner) checkConflict(t *pendingTxn, present []rows.Row) (uint64, error) {
-	for _, r := range present {
-		if r.Table != OwnershipTable || r.Key != ownershipKey {
-			continue
-		}
-		var stored ownership
-		if err := json.Unmarshal(r.Value, &stored); err == nil && stored.sameOwner(t.row) && stored.N == t.row.N {
-			return r.Version, nil
-		}
-	}
-	return 0, errOwnershipLost
+// isStored reports whether r is the ownership row as this transaction of this owner wrote it.
+func (r ownership) isStored(row rows.Row) bool {
+	var stored ownership
+	return json.Unmarshal(row.Value, &stored) == nil && stored.sameOwner(r) && stored.N == r.N
 }
 
 // applyCommitted does, in the loop, what had to wait until the transaction was durable.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -83,12 +83,14 @@
 	// slowReadThreshold is the duration of a read from which the store counts as slow, some 20 times the
 	// usual duration. After a faster read the store is not what delays the owner.
 	slowReadThreshold = 100 * time.Millisecond
-	// firstCommitTimeout bounds the first attempt of a transaction; the bound doubles for each later one,
-	// up to storeTimeout. The first is short because a connection may be dead while a new one works. An
-	// attempt may take commitTimeoutFactor times as long as the last transaction took: where the store is
-	// slow, a second attempt would only queue behind the first.
-	firstCommitTimeout  = 600 * time.Millisecond
-	commitTimeoutFactor = 2
+	// minProbeDelay is how long a transaction may take before the ownership row is read to find out whether
+	// it took effect: some ten times the usual duration. After a slow one it is probeDelayFactor times what
+	// that took.
+	minProbeDelay    = 100 * time.Millisecond
+	probeDelayFactor = 2
+	// resendDelay is how long a transaction of the owner may be in flight, with the row unchanged, before it is
+	// sent again. Only the owner and a node that takes over write that part.
+	resendDelay = 250 * time.Millisecond
 	// takeJitter spreads the attempts of nodes that find the row free at the same time. It grows with the
 	// number of nodes, by one takeJitter for every nodesPerJitter nodes, because a part of the store takes
 	// one transaction at a time, 150 a second. Larger nodes go first: a node waits takeDelayOneCore divided
@@ -208,6 +210,9 @@
 	lastRow        rows.Row
 	unchangedSince time.Duration
 	lastRowValid   bool
+	// storeAway is set while this node's reads of the row fail; storeBackAt is when one succeeded again, or 0.
+	storeAway   bool
+	storeBackAt time.Duration
 	// polledVersion is the version of the row that the owner reported last; it was written at
 	// polledVersionAt.
 	polledVersion   uint64
--- a/internal/leader/take.go
+++ b/internal/leader/take.go
@@ -20,9 +20,12 @@
 	row, err := l.Rows.Get(readCtx, OwnershipTable, "", ownershipKey)
 	cancel()
 	if err != nil {
-		l.lastRowValid = false
+		l.lastRowValid, l.storeAway = false, true
 		return
 	}
+	if l.storeAway {
+		l.storeAway, l.storeBackAt = false, l.now()
+	}
 	var r ownership
 	if row.Version != 0 {
 		if err := json.Unmarshal(row.Value, &r); err != nil {
@@ -39,7 +42,7 @@
 			l.setOwnerAddr(r.Addr)
 		}
 	}
-	if !l.mayTake(row, r, ownerAnswers && l.now()-asked > slowReadThreshold) {
+	if !l.mayTake(row, r, ownerAnswers, ownerAnswers && l.now()-asked > slowReadThreshold) {
 		return
 	}
 	delay := l.takeDelay()
@@ -56,8 +59,9 @@
 }
 
 // mayTake reports whether this node may take the row; slowStore means that the owner answers polls and the
-// store is slow.
-func (l *Candidate) mayTake(row rows.Row, r ownership, slowStore bool) bool {
+// store is slow. An owner that answers polls is given the same time after the store's return as after its last
+// commit: while the store was away for all, it could not commit.
+func (l *Candidate) mayTake(row rows.Row, r ownership, ownerAnswers, slowStore bool) bool {
 	if l.resigned.Load() || l.handedOverAt != 0 && r.Released && l.now()-l.handedOverAt < settleTime {
 		return false
 	}
@@ -66,7 +70,11 @@
 	if slowStore {
 		limit = slowStoreTakeoverAge
 	}
-	return row.Version == 0 || r.Released || earlierIncarnation || l.now()-l.unchangedSince >= limit
+	since := l.unchangedSince
+	if ownerAnswers {
+		since = max(since, l.storeBackAt)
+	}
+	return row.Version == 0 || r.Released || earlierIncarnation || l.now()-since >= limit
 }
 
 // takeDelay returns how long the node waits before it takes a free row. Larger nodes go first; a node that
@@ -91,12 +99,13 @@
 	sent := l.now()
 	ctx2, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	version, _, err := l.Rows.Commit(ctx2, rows.Txn{
-		Conditions: []rows.Row{{Table: OwnershipTable, Key: ownershipKey, Version: row.Version}},
+	lead := rows.Row{Table: OwnershipTable, Key: ownershipKey, Version: row.Version}
+	version, _, err := l.Rows.CommitKnown(ctx2, rows.Txn{
+		Conditions: []rows.Row{lead},
 		Put:        []rows.Row{{Table: OwnershipTable, Key: ownershipKey, Value: value}},
-	})
+	}, rows.Probe{Row: lead, Applied: next.isStored, After: minProbeDelay, Resend: resendDelay, Timeout: storeTimeout})
 	if err != nil {
-		// A write without an answer may still have taken effect. The next read then finds a row of this
+		// A write whose outcome is unknown may still take effect. The next read then finds a row of this
 		// node that no owner renews, and takes it over again.
 		if !errors.Is(err, rows.ErrConflict) {
 			l.Log.Emit(event.StoreFailed).Str("op", "take").Err(err).Send()
--- a/internal/leader/take_test.go
+++ b/internal/leader/take_test.go
@@ -65,6 +65,46 @@
 	}
 }
 
+// Pattern: the store is away for all nodes and comes back. The owner answers polls all the while, so that it
+// keeps the ownership: another one would only read everything anew.
+func TestOwnershipStaysWhenTheStoreComesBack(t *testing.T) {
+	cases := map[string]func(ctx context.Context) error{
+		"refused": func(context.Context) error { return rows.ErrRefused },
+		"without an answer": func(ctx context.Context) error {
+			<-ctx.Done()
+			return rows.ErrOutcomeUnknown
+		},
+	}
+	for name, answer := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, nodes, stop := startSimulation(5, 3)
+				defer stop()
+				old := ownerOf(nodes)
+				epoch := old.LocalOwner().epoch
+				var away atomic.Bool
+				sim.store.refuse.set(func(string, string) error {
+					if !away.Load() {
+						return nil
+					}
+					ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+					defer cancel()
+					return answer(ctx)
+				})
+				for range 5 {
+					away.Store(true)
+					time.Sleep(3 * time.Second)
+					away.Store(false)
+					time.Sleep(3 * time.Second)
+				}
+				is.Equal(ownerOf(nodes), old)
+				is.Equal(old.LocalOwner().epoch, epoch)
+			})
+		})
+	}
+}
+
 // A new owner whose reads the store refuses, as it does above its rate limit, keeps the ownership while it
 // retries. If it were replaced, the next owner's reads would only add to the load, and so on without end.
 func TestNewOwnerKeepsOwnershipWhileReadsAreRefused(t *testing.T) {
