Bound the owner's starts by what its link and processor deliver

Cause: on a link of 2 Mbit/s (small twins of the large fleet) a burst of starts takes longer than their fixed time-out of 350 ms.

Change: a window over all starts in flight, which grows by one with each prompt answer and shrinks while answers take 100 ms longer than the fastest; time-outs of orders follow the smoothed time of answers; a pass decides no more than two windows ahead and places gangs whole or later; while the window says that this node is full, a hold without an answer does not make its worker silent. A lease whose start had to read the worker's clock first is counted from that reading.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,7 @@
 	TaskStray      ID = 324
 	StartFailed    ID = 325
 	Advised        ID = 326
+	StartsLimited  ID = 327
 	WaveAsked      ID = 330
 	WaveTold       ID = 331
 	UpkeepOrdered  ID = 332
@@ -136,6 +137,7 @@
 	{TaskStray, "task-stray", zerolog.WarnLevel, "A worker has a run that the records don't know; it is stopped."},
 	{StartFailed, "start-failed", zerolog.WarnLevel, "The order to start a run failed; the line tells whether it may still be carried out."},
 	{Advised, "advised", zerolog.InfoLevel, "The adviser was asked which workers may run a step; the line gives how many it allows, or the error."},
+	{StartsLimited, "starts-limited", zerolog.WarnLevel, "Workers answer starts late because this node's link or processor is full, or no longer so; fewer starts are sent at a time."},
 	{WaveAsked, "wave-asked", zerolog.InfoLevel, "An operator asks for the upkeep of some VMs; the line gives how many, how many at once, and the time."},
 	{WaveTold, "wave-told", zerolog.InfoLevel, "The operator is told that a wave goes on or is completed."},
 	{UpkeepOrdered, "upkeep-ordered", zerolog.InfoLevel, "The platform was told to take a VM into upkeep; the line gives the error if it did not."},
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -186,9 +186,8 @@
 		s.durableEnd = max(s.durableEnd, n)
 		s.holdIfIdle()
 	}
-	for _, order := range t.starts {
-		o.sendStart(order)
-	}
+	o.readyStarts = append(o.readyStarts, t.starts...)
+	o.sendReadyStarts()
 	for _, s := range t.upkeeps {
 		o.orderUpkeep(s)
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -191,6 +191,9 @@
 	nonce     uint64
 	resigned  atomic.Bool
 	ownerAddr atomic.Pointer[string]
+	// gaveUpAt is when an owner of this process gave up reading the stored state, in ns of the steady clock; 0 if
+	// none has.
+	gaveUpAt atomic.Int64
 
 	mu sync.Mutex
 	// owner is guarded by mu. It is the owner that this process started last; nil before the first and
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -74,6 +74,8 @@
 	sessions       map[string]*session            // by worker id
 	confirmedRuns  map[sched.TaskRef]startOutcome // runs that their worker is certain to know
 	pendingStarts  []sched.Order                  // starts whose records are not durable yet
+	readyStarts    []sched.Order                  // starts whose records are durable, not sent yet
+	starts         startWindow                    // bounds the starts in flight
 	dirtyJobs      map[string]bool                // jobs whose records changed since they were last put into a transaction
 	pendingDeletes []rows.Row                     // rows to delete in a later transaction
 	rowVersion     uint64                         // of the ownership row; it changes only while no transaction is in flight
@@ -242,9 +244,9 @@
 // decide runs a scheduling pass if one is due, sends the stops and questions that result, and sends the
 // next transaction.
 func (o *Owner) decide() {
-	if began := o.lead.now(); o.passDue && o.rebuilt.Load() && began >= o.nextPassAt && !o.releasing && o.planVersion != 0 && o.mayStart() && !o.stuck(began) {
-		o.passDue = false
-		o.engine.Pass(o.moment())
+	budget := o.starts.budget(len(o.pendingStarts) + len(o.readyStarts))
+	if began := o.lead.now(); o.passDue && budget > 0 && o.rebuilt.Load() && began >= o.nextPassAt && !o.releasing && o.planVersion != 0 && o.mayStart() && !o.stuck(began) {
+		o.passDue = o.engine.PassWithin(o.moment(), budget)
 		now := o.lead.now()
 		o.nextPassAt = now + min(passRestFactor*(now-began), tickInterval)
 	}
@@ -360,6 +362,7 @@
 		}
 		o.lead.Log.Emit(event.StoreFailed).Str("op", "read "+table).Err(err).Send()
 		if o.ctx.Err() != nil || o.commitAge() > maxOrderAge || o.lead.now()-o.takenAt > rebuildTimeout {
+			o.lead.gaveUpAt.Store(int64(o.lead.now()))
 			o.cancel()
 			return page, false
 		}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -15,8 +15,8 @@
 	// holdWait is how long a worker waits for a run to end before it answers a hold: the longest that the
 	// platform's workers wait.
 	holdWait = 2 * time.Second
-	// orderTimeout bounds a start or a stop. A round trip takes a few ms. A gang's members wait 3 s for the
-	// last one; within that time a lost start must be detected and replaced.
+	// orderTimeout is the least timeout of a start or a stop. A round trip takes a few ms. A gang's members wait
+	// 3 s for the last one; within that time a lost start must be detected and replaced.
 	orderTimeout = 350 * time.Millisecond
 	// holdSlack is the timeout of a hold beyond the time that the worker may wait, and the longest time
 	// that a start may be delayed in this process before it is sent.
@@ -31,11 +31,8 @@
 // of the worker's runs, acknowledges ended runs and waits for new ends. The fields belong to the owner's
 // loop; calls in flight work on copies and report to the loop.
 type session struct {
-	o     *Owner
-	entry orders.Entry
-	// startSlots bounds the starts in flight.
-	startSlots chan struct{}
-
+	o       *Owner
+	entry   orders.Entry
 	listed  bool // the worker has an entry
 	adopted bool // its runs were started under an earlier owner; cleared by the first answer
 	closed  bool // the session has ended
@@ -69,7 +66,7 @@
 	s := o.sessions[e.ID]
 	if s == nil {
 		s = &session{
-			o: o, entry: e, startSlots: make(chan struct{}, maxStartsInFlight),
+			o: o, entry: e,
 			lastStopAt:     map[sched.TaskRef]time.Duration{},
 			startsInFlight: map[sched.TaskRef]int64{}, unconfirmedStarts: map[sched.TaskRef]startOutcome{},
 		}
@@ -181,13 +178,13 @@
 		s.leaseUntil = max(s.leaseUntil, sent+o.maxRunLife())
 	}
 	s.holdsInFlight++
-	e := s.entry
+	e, timeout := s.entry, wait+max(holdSlack, o.starts.timeout())
 	o.spawn(func() {
 		if !o.mayOrder() {
 			o.post(func() { s.holdsInFlight-- })
 			return
 		}
-		ctx, cancel := context.WithTimeout(o.ctx, wait+holdSlack)
+		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		out, err := o.lead.Fleet.Hold(ctx, e, in)
 		cancel()
 		o.post(func() { s.handleHold(sent, in, out, err) })
@@ -321,6 +318,7 @@
 
 // handleHoldFailure handles a hold that failed: the worker counts as silent until it answers again.
 func (s *session) handleHoldFailure(err error) {
+	o := s.o
 	s.incarnationConfirmed = false
 	if errors.Is(err, orders.ErrFenced) {
 		s.o.lead.Log.Emit(event.LeadLost).Int64("epoch", s.o.epoch).Str("reason", "a worker has accepted orders of a later epoch").Send()
@@ -332,7 +330,9 @@
 		s.leaseUntil = 0
 		s.loseRuns("another incarnation answers at its address")
 	}
-	if !s.silent {
+	// While this node's own link or processor is full, a late answer says nothing about the worker.
+	ownDelay := o.starts.congested() && errors.Is(err, orders.ErrOutcomeUnknown)
+	if !s.silent && !ownDelay {
 		s.setSilent(true, err)
 	}
 	time.AfterFunc(holdRetryPause, func() { s.o.post(s.holdIfDue) })
@@ -367,7 +367,25 @@
 	o.engine.SetWorker(w)
 }
 
-// sendStart sends a start whose record is durable, or rejects it if it must no longer be sent.
+// sendReadyStarts sends the starts whose records are durable, in order, as far as the window over all workers
+// and the bound of each worker allow.
+func (o *Owner) sendReadyStarts() {
+	kept := o.readyStarts[:0]
+	for i, order := range o.readyStarts {
+		if o.starts.full() {
+			kept = append(kept, o.readyStarts[i:]...)
+			break
+		}
+		if s := o.sessions[order.Worker]; s != nil && len(s.startsInFlight) >= maxStartsInFlight {
+			kept = append(kept, order)
+			continue
+		}
+		o.sendStart(order)
+	}
+	o.readyStarts = kept
+}
+
+// sendStart sends a start, or rejects it if it must no longer be sent.
 func (o *Owner) sendStart(order sched.Order) {
 	s := o.sessions[order.Worker]
 	run, worker, placed := o.engine.CurrentRun(order.Task)
@@ -386,37 +404,55 @@
 	}
 	s.startsInFlight[order.Task] = order.Run
 	s.leaseUntil = max(s.leaseUntil, o.lead.now()+o.maxRunLife())
-	e, queuedAt := s.entry, o.lead.now()
-	o.spawn(func() {
-		s.startSlots <- struct{}{}
-		defer func() { <-s.startSlots }()
-		o.callStart(s, e, in, queuedAt)
-	})
+	o.starts.inFlight++
+	e, sentAt, timeout := s.entry, o.lead.now(), o.starts.timeout()
+	o.spawn(func() { o.callStart(s, e, in, sentAt, timeout) })
 }
 
 // callStart calls the worker to start a run. If the worker's clock is not known it first reads it with a
 // hold, to compute the lease.
-func (o *Owner) callStart(s *session, e orders.Entry, in orders.Start, queuedAt time.Duration) {
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+func (o *Owner) callStart(s *session, e orders.Entry, in orders.Start, sentAt, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(o.ctx, timeout)
 	defer cancel()
 	err := error(nil)
+	leaseFrom := sentAt
 	if in.DeadlineMs == 0 {
 		var out orders.HoldReply
 		out, err = o.lead.Fleet.Hold(ctx, e, orders.Hold{Epoch: in.Epoch})
 		in.DeadlineMs = out.ClockMs + o.lead.Bounds.MaxLease.Milliseconds()
+		leaseFrom = o.lead.now()
 	}
 	var clockMs int64
 	switch {
 	case err != nil:
 		err = asNotSent(err)
-	case !o.mayStart() || o.lead.now()-queuedAt > holdSlack:
-		// The process was suspended, or the queue of starts to this worker is long.
-		err = orders.ErrNotSent
+	case !o.mayStart() || o.lead.now()-sentAt > timeout+holdSlack:
+		err = orders.ErrNotSent // the process was suspended
 	default:
 		clockMs, err = o.lead.Fleet.Start(ctx, e, in)
 	}
 	at := o.lead.now()
-	o.post(func() { s.handleStart(in, clockMs, at, err) })
+	o.post(func() {
+		o.recordStartTime(at-sentAt, at, err)
+		s.leaseUntil = max(s.leaseUntil, leaseFrom+o.maxRunLife())
+		s.handleStart(in, clockMs, at, err)
+		o.sendReadyStarts()
+	})
+}
+
+// recordStartTime records in the window how long a start took, and logs when this node's link or processor
+// becomes full and when it no longer is.
+func (o *Owner) recordStartTime(took, now time.Duration, err error) {
+	if errors.Is(err, orders.ErrNotSent) {
+		o.starts.notSent()
+		return
+	}
+	before := o.starts.congested()
+	o.starts.answered(took, now)
+	if after := o.starts.congested(); after != before {
+		o.lead.Log.Emit(event.StartsLimited).Bool("limited", after).Int("window", o.starts.size()).Int("backlog", len(o.readyStarts)).
+			Int64("answer_ms", o.starts.smoothed.Milliseconds()).Int64("epoch", o.epoch).Send()
+	}
 }
 
 // asNotSent converts the failure of the hold before a start into an error which proves that the start did
@@ -482,7 +518,7 @@
 	if s == nil || s.closed || s.entry.Addr == "" {
 		return
 	}
-	e := s.entry
+	e, timeout := s.entry, o.starts.timeout()
 	s.lastStopAt[order.Task] = o.lead.now()
 	o.lead.Log.Emit(event.TaskStopped).Str("task", order.Task.String()).Int64("run", order.Run).Str("worker", order.Worker).
 		Str("reason", order.Reason).Int64("epoch", o.epoch).Send()
@@ -491,7 +527,7 @@
 			if !o.mayOrder() {
 				return
 			}
-			ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+			ctx, cancel := context.WithTimeout(o.ctx, timeout)
 			err := o.lead.Fleet.Stop(ctx, e, order.Task, order.Run, o.epoch)
 			cancel()
 			at := o.lead.now()
--- a/internal/leader/take.go
+++ b/internal/leader/take.go
@@ -65,6 +65,10 @@
 	if l.resigned.Load() || l.handedOverAt != 0 && r.Released && l.now()-l.handedOverAt < settleTime {
 		return false
 	}
+	// After this node could not read the stored state, another one is given the time to try.
+	if at := time.Duration(l.gaveUpAt.Load()); at != 0 && l.now()-at < settleTime {
+		return false
+	}
 	earlierIncarnation := r.Owner == l.Node && r.Addr == l.Addr && r.Nonce != l.nonce
 	limit := takeoverAge
 	if slowStore {
--- /dev/null
+++ b/internal/leader/window.go
@@ -0,0 +1,87 @@
+package leader
+
+import "time"
+
+const (
+	// initialWindow is how many starts may be in flight before any was answered, minWindow and maxWindow are
+	// the bounds of that number. A start carries up to 4 KB, so that 8 of them take an eighth of a second on
+	// the slowest link of the users' deployments, 2 Mbit/s.
+	initialWindow = 8
+	minWindow     = 4
+	maxWindow     = 1024
+	// windowCutFactor is by how much the window shrinks, at most once in windowCutInterval.
+	windowCutFactor   = 0.7
+	windowCutInterval = 100 * time.Millisecond
+	// smoothingShare is the weight of one answer in the smoothed time of answers. A few workers that are slow
+	// or silent must not look like a full link.
+	smoothingShare = 1.0 / 16
+	// congestionDelay is how much longer than the fastest answer the smoothed one must take for this node's link
+	// or processor to count as full.
+	congestionDelay = 100 * time.Millisecond
+	// timeoutFactor times the smoothed time of answers is the timeout of an order, within orderTimeout and
+	// maxOrderTimeout.
+	timeoutFactor   = 4
+	maxOrderTimeout = 2 * time.Second
+	// backlogFactor times the window may be decided but not sent yet.
+	backlogFactor = 2
+)
+
+// startWindow bounds the starts that are in flight to all workers together, by the time that their answers take:
+// where this node's link or processor is full, more orders at a time only make all of them late. It grows by one
+// with each prompt answer and shrinks by windowCutFactor while answers are late. The zero value is ready for use.
+type startWindow struct {
+	limit    float64 // 0 means initialWindow
+	inFlight int
+	// smoothed is the smoothed time of answers, fastest the least of all.
+	smoothed, fastest time.Duration
+	lastCutAt         time.Duration
+}
+
+// size returns how many starts may be in flight.
+func (w *startWindow) size() int {
+	if w.limit == 0 {
+		return initialWindow
+	}
+	return int(w.limit)
+}
+
+// full reports whether no further start may be sent now.
+func (w *startWindow) full() bool { return w.inFlight >= w.size() }
+
+// budget returns how many more starts may be decided while backlog of them have not been sent.
+func (w *startWindow) budget(backlog int) int {
+	return max(0, backlogFactor*w.size()-w.inFlight-backlog)
+}
+
+// answered records that a start was answered, or timed out, after a time; now is the present time.
+func (w *startWindow) answered(took, now time.Duration) {
+	w.inFlight--
+	limit := float64(w.size())
+	if w.fastest == 0 || took < w.fastest {
+		w.fastest = took
+	}
+	if w.smoothed == 0 {
+		w.smoothed = took
+	}
+	w.smoothed += time.Duration(float64(took-w.smoothed) * smoothingShare)
+	switch {
+	case took < w.fastest+congestionDelay/2 && !w.congested():
+		w.limit = min(limit+1, maxWindow)
+	case w.congested() && now-w.lastCutAt >= max(windowCutInterval, w.smoothed):
+		w.limit, w.lastCutAt = max(limit*windowCutFactor, minWindow), now
+	default:
+		w.limit = limit
+	}
+}
+
+// notSent records that a start was not sent after all.
+func (w *startWindow) notSent() { w.inFlight-- }
+
+// congested reports whether answers take so much longer than the fastest that this node's own link or processor
+// is the likely cause.
+func (w *startWindow) congested() bool { return w.smoothed > w.fastest+congestionDelay }
+
+// timeout returns how long an order may take.
+func (w *startWindow) timeout() time.Duration {
+	return min(max(orderTimeout, timeoutFactor*w.smoothed), maxOrderTimeout)
+}
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -21,6 +21,8 @@
 	racks         []*rack   // sorted by pool and name; nil if they must be rebuilt
 	jobs          map[string]*Job
 	openJobs      []*Job // jobs that have not ended, sorted by compareAcceptance
+	// startsLeft is how many more tasks the present pass may start.
+	startsLeft int
 	// lastRun is the run number given out last.
 	lastRun     int64
 	orders      []Order
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/samber/lo"
@@ -13,14 +14,23 @@
 // reserved capacity has become free, and then places waiting tasks in the order of readyGroups,
 // preempting other runs for urgent work. The orders are fetched with TakeOrders, questions for the
 // adviser with TakeQuestions.
-func (e *Engine) Pass(now Moment) {
+func (e *Engine) Pass(now Moment) { _ = e.PassWithin(now, math.MaxInt) }
+
+// PassWithin makes a round of decisions that starts about budget tasks at most: the owner may not be able to
+// send more soon. A gang is placed whole or left for a later pass; one that is larger than the budget is
+// placed if it comes first. It reports whether work is left for want of budget.
+func (e *Engine) PassWithin(now Moment, budget int) (more bool) {
 	e.init()
 	e.stopStalledRuns(now)
 	e.stopIncompleteGangs(now)
 	e.startReserved(now)
 	e.refreshRacks(now)
 	unplaceable := map[shape]bool{}
+	e.startsLeft = budget
 	for _, g := range e.readyGroups(now) {
+		if e.startsLeft <= 0 {
+			return true
+		}
 		if _, reserved := e.reservations[g.batch]; reserved {
 			continue
 		}
@@ -34,11 +44,15 @@
 		if unplaceable[key] {
 			continue
 		}
+		if g.step.Gang && len(g.waiting) > e.startsLeft && e.startsLeft < budget {
+			return true // the next pass places it first
+		}
 		if !e.place(g, now) {
 			unplaceable[key] = true
 			e.askAdviser(g, now)
 		}
 	}
+	return e.startsLeft <= 0
 }
 
 // utilization returns the largest of the fractions of a pool's accelerators, cores and memory that placed
@@ -224,6 +238,9 @@
 func (e *Engine) placeEach(g *group, now Moment) bool {
 	all := g.waiting
 	for _, i := range all {
+		if e.startsLeft <= 0 {
+			return true // the next pass places the others
+		}
 		g.waiting = []int{i}
 		placement := e.findNearData(g, now)
 		if placement == nil {
@@ -364,7 +381,8 @@
 // capacity is free. With healthyOnly, workers with failures since their last success or on which one of
 // the waiting tasks failed last are left out.
 func (g *group) eligible(w *worker, healthyOnly bool, now Moment) bool {
-	if !w.schedulable(now) && !(g.onDraining && w.responsive(now)) || w.Room.Times(g.step.Need(), 1) == 0 {
+	mayStart := w.schedulable(now) || g.onDraining && w.responsive(now)
+	if !mayStart || w.Room.Times(g.step.Need(), 1) == 0 {
 		return false
 	}
 	if g.step.Label != "" && !slices.Contains(w.Labels, g.step.Label) {
@@ -448,6 +466,7 @@
 		g.batch.run, g.batch.startedAt = run, now.Steady
 	}
 	g.batch.incomplete = false
+	e.startsLeft -= len(g.waiting)
 	for pos, i := range g.waiting {
 		if pos > 0 && !g.step.Gang {
 			e.lastRun++
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -47,6 +47,8 @@
 	Timeout time.Duration
 	// MaxConns bounds the connections to the address; 0 means 64.
 	MaxConns int
+	// IdleTimeout is how long a connection without a request is kept; 0 means 30 s.
+	IdleTimeout time.Duration
 	// Header is added to each request; it must not change after the first request.
 	Header map[string]string
 	// Send, if set, replaces the network; its errors wrap ErrNotSent or ErrNoAnswer.
@@ -60,7 +62,7 @@
 	c.host = &fasthttp.HostClient{
 		Addr:                          c.Addr,
 		MaxConns:                      c.MaxConns,
-		MaxIdleConnDuration:           idleTimeout,
+		MaxIdleConnDuration:           c.IdleTimeout,
 		MaxResponseBodySize:           maxResponseBody,
 		MaxIdemponentCallAttempts:     1,
 		NoDefaultUserAgentHeader:      true,
@@ -76,6 +78,9 @@
 	if c.host.MaxConns == 0 {
 		c.host.MaxConns = defaultMaxConns
 	}
+	if c.host.MaxIdleConnDuration == 0 {
+		c.host.MaxIdleConnDuration = idleTimeout
+	}
 }
 
 func (c *Client) timeout() time.Duration {
