Take over sooner from an owner that the store turns away

The others waited for the same age of the row as for an owner that renews late, although the owner could have told them that its transaction was stuck.

Ruled out: the store being slow for all (a node takes over from a stuck owner only if its own read was answered within 100 ms).

Change: the owner's answer to a poll says whether its transaction has been in flight for 300 ms; then 0.7 s are enough. An owner that does not answer is replaced after 0.9 s instead of 1.2 s, since a transaction without an answer is now settled within a renewal. Lateness of starts counts for 2 s after the last answer, and no worker's silence is excused for longer than 8 s.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -46,7 +46,8 @@
 		return
 	}
 	t := o.buildTxn()
-	o.inFlight, o.sentAt = true, o.lead.now()
+	o.inFlight = true
+	o.txnSentAt.Store(int64(o.lead.now()))
 	o.spawn(func() { o.sendTxn(t) })
 }
 
@@ -171,6 +172,7 @@
 // applyCommitted does, in the loop, what had to wait until the transaction was durable.
 func (o *Owner) applyCommitted(t *pendingTxn, version uint64) {
 	o.inFlight = false
+	o.txnSentAt.Store(0)
 	o.rowVersion = version
 	o.row = t.row
 	for id, s := range t.finals {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -58,20 +58,24 @@
 	pollCountWindow = time.Second
 	// pollTimeout bounds one poll; a round trip takes a few ms.
 	pollTimeout = 400 * time.Millisecond
-	// renewInterval is the longest time that the owner leaves its row unchanged while the store answers: a
-	// third of takeoverAge.
+	// renewInterval is the longest time that the owner leaves its row unchanged while the store answers.
 	renewInterval = 400 * time.Millisecond
 	// slowStoreTakeoverAge is how long the row must be unchanged before another node takes it, if the owner
 	// answers polls and the store is slow. A store that is 80 times slower than usual still completes a
 	// renewal in less.
 	slowStoreTakeoverAge = 2500 * time.Millisecond
 	// takeoverAge is the same limit for an owner that does not answer, or that writes nothing while the
-	// store answers promptly: three renewals. A takeover that comes too early is safe, because the row and
-	// the workers fence off the previous owner. Urgent jobs have about 1.5 s of slack.
-	takeoverAge = 1200 * time.Millisecond
+	// store answers promptly: two renewals and the time to settle one without an answer. A takeover that comes
+	// too early is safe, because the row and the workers fence off the previous owner. Urgent jobs have about
+	// 1.5 s of slack.
+	takeoverAge = 900 * time.Millisecond
+	// stuckTakeoverAge is the limit for an owner that reports that its transaction has been in flight for
+	// stuckTxnAge, while the store answers the node that polls it promptly: the store turns the owner away.
+	stuckTakeoverAge = 700 * time.Millisecond
 	// staleCommitAge is the age of the owner's last commit from which the other nodes read its row
-	// themselves.
-	staleCommitAge = time.Second
+	// themselves; stuckCommitAge is the same for an owner whose transaction is stuck.
+	staleCommitAge = 800 * time.Millisecond
+	stuckCommitAge = 600 * time.Millisecond
 	// maxOrderAge is how long after its last commit an owner still extends leases and stops runs. It is
 	// longer than the store's outages on the users' sites: during an outage no other node can take over.
 	maxOrderAge = 8 * time.Second
@@ -137,6 +141,8 @@
 	Epoch int64 `json:"epoch"`
 	// AgeMs is the time since the owner's last successful commit was sent.
 	AgeMs int64 `json:"age_ms"`
+	// Stuck reports that the owner's transaction has been in flight for stuckTxnAge.
+	Stuck bool `json:"stuck,omitempty"`
 	// Version is the version of the ownership row after that commit.
 	Version uint64 `json:"version,omitempty"`
 	// Addr is the owner's address as far as the answering node knows.
@@ -298,12 +304,12 @@
 	if l.resigned.Load() {
 		return
 	}
-	healthy, isOwner := l.pollOwner(ctx)
-	if healthy {
+	p := l.pollOwner(ctx)
+	if p.healthy() {
 		l.lastRowValid = false
 		return
 	}
-	l.takeIfFree(ctx, isOwner)
+	l.takeIfFree(ctx, p)
 }
 
 // handOverToLarger releases the ownership if a node with clearly more cores has polled: an owner that can't
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -64,6 +64,9 @@
 	// committedAt is when the last successful commit was sent, in ns of the steady clock. Any goroutine may
 	// read it.
 	committedAt atomic.Int64
+	// txnSentAt is when the transaction in flight was first sent, in ns of the steady clock; 0 if none is. Any
+	// goroutine may read it.
+	txnSentAt atomic.Int64
 	// committedVersion is the version of the ownership row after that commit. Any goroutine may read it.
 	committedVersion atomic.Uint64
 
@@ -80,7 +83,6 @@
 	pendingDeletes []rows.Row                     // rows to delete in a later transaction
 	rowVersion     uint64                         // of the ownership row; it changes only while no transaction is in flight
 	inFlight       bool                           // a transaction is in flight
-	sentAt         time.Duration                  // when the transaction in flight was first sent
 	// lastTxnTook is how long the last transaction took; it changes only while none is in flight.
 	lastTxnTook time.Duration
 	nextPurgeAt time.Duration // when purge looks for ended jobs again
@@ -245,7 +247,7 @@
 // next transaction.
 func (o *Owner) decide() {
 	budget := o.starts.budget(len(o.pendingStarts) + len(o.readyStarts))
-	if began := o.lead.now(); o.passDue && budget > 0 && o.rebuilt.Load() && began >= o.nextPassAt && !o.releasing && o.planVersion != 0 && o.mayStart() && !o.stuck(began) {
+	if began := o.lead.now(); o.passDue && budget > 0 && o.rebuilt.Load() && began >= o.nextPassAt && !o.releasing && o.planVersion != 0 && o.mayStart() && !o.txnStuck(began) {
 		o.passDue = o.engine.PassWithin(o.moment(), budget)
 		now := o.lead.now()
 		o.nextPassAt = now + min(passRestFactor*(now-began), tickInterval)
@@ -269,9 +271,12 @@
 	o.commit()
 }
 
-// stuck reports whether the transaction in flight takes too long. Runs that are decided now could not be
+// txnStuck reports whether the transaction in flight takes too long. Runs that are decided now could not be
 // started for a while, and others would be stopped to make room for nothing.
-func (o *Owner) stuck(now time.Duration) bool { return o.inFlight && now-o.sentAt > stuckTxnAge }
+func (o *Owner) txnStuck(now time.Duration) bool {
+	at := time.Duration(o.txnSentAt.Load())
+	return at != 0 && now-at > stuckTxnAge
+}
 
 // storedState is what is stored when an owner begins. Jobs are read before records, so that a record
 // without a job is one whose job was removed.
--- a/internal/leader/poll.go
+++ b/internal/leader/poll.go
@@ -15,7 +15,7 @@
 	}
 	return Pulse{
 		Owner: true, Epoch: o.epoch, AgeMs: o.commitAge().Milliseconds(), Version: o.committedVersion.Load(), Addr: l.Addr, Most: most,
-		Nodes: l.countPoll(),
+		Nodes: l.countPoll(), Stuck: o.txnStuck(l.now()),
 	}
 }
 
@@ -60,19 +60,19 @@
 	return l.pollerCores
 }
 
-// pollOwner polls the node that was last known as the owner. isOwner says whether it answered as the owner,
-// healthy whether its last commit is also recent.
-func (l *Candidate) pollOwner(ctx context.Context) (healthy, isOwner bool) {
+// pollOwner polls the node that was last known as the owner and returns its answer, the zero Pulse if there was
+// none.
+func (l *Candidate) pollOwner(ctx context.Context) Pulse {
 	addr := l.OwnerAddr()
 	if addr == "" || addr == l.Addr {
-		return false, false
+		return Pulse{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	asked := l.now()
 	p, err := l.Poll(ctx, addr)
 	if err != nil {
-		return false, false
+		return Pulse{}
 	}
 	if p.Owner {
 		l.polledVersion, l.polledVersionAt = p.Version, asked-time.Duration(p.AgeMs)*time.Millisecond
@@ -81,5 +81,14 @@
 		l.nodeCount = p.Nodes
 		l.mu.Unlock()
 	}
-	return p.Owner && p.AgeMs < staleCommitAge.Milliseconds(), p.Owner
+	return p
+}
+
+// healthy reports whether the answering node is an owner that has committed recently.
+func (p Pulse) healthy() bool {
+	limit := staleCommitAge
+	if p.Stuck {
+		limit = stuckCommitAge
+	}
+	return p.Owner && p.AgeMs < limit.Milliseconds()
 }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -23,6 +23,9 @@
 	holdSlack = 700 * time.Millisecond
 	// holdRetryPause is the pause after a hold that failed.
 	holdRetryPause = 250 * time.Millisecond
+	// maxOwnDelay is how long a worker's missing answers may be put down to this node's own link or processor:
+	// twice the longest hold.
+	maxOwnDelay = 2 * (holdWait + maxOrderTimeout)
 	// maxStartsInFlight bounds the starts in flight to one worker, whose connections all nodes share.
 	maxStartsInFlight = 6
 )
@@ -51,6 +54,7 @@
 	seenEnd, coveredEnd, durableEnd int64
 	silent                          bool
 	lastHoldAt                      time.Duration // when the last hold was sent
+	answeredAt                      time.Duration // when the worker last answered a hold or a start
 	holdsInFlight                   int
 	// ackedEnd is the highest end whose acknowledgement the worker has answered.
 	ackedEnd int64
@@ -204,6 +208,7 @@
 		return
 	}
 	now := o.moment()
+	s.answeredAt = now.Steady
 	wasSilent := s.silent
 	if wasSilent {
 		s.setSilent(false, nil)
@@ -331,7 +336,8 @@
 		s.loseRuns("another incarnation answers at its address")
 	}
 	// While this node's own link or processor is full, a late answer says nothing about the worker.
-	ownDelay := o.starts.congested() && errors.Is(err, orders.ErrOutcomeUnknown)
+	now := o.lead.now()
+	ownDelay := o.starts.congested(now) && errors.Is(err, orders.ErrOutcomeUnknown) && now-s.answeredAt < maxOwnDelay
 	if !s.silent && !ownDelay {
 		s.setSilent(true, err)
 	}
@@ -447,9 +453,9 @@
 		o.starts.notSent()
 		return
 	}
-	before := o.starts.congested()
+	before := o.starts.congested(now)
 	o.starts.answered(took, now)
-	if after := o.starts.congested(); after != before {
+	if after := o.starts.congested(now); after != before {
 		o.lead.Log.Emit(event.StartsLimited).Bool("limited", after).Int("window", o.starts.size()).Int("backlog", len(o.readyStarts)).
 			Int64("answer_ms", o.starts.smoothed.Milliseconds()).Int64("epoch", o.epoch).Send()
 	}
@@ -476,6 +482,7 @@
 		return
 	}
 	s.recordClock(clockMs, at)
+	s.answeredAt = at
 	o.confirmedRuns[in.Task] = startOutcome{run: in.Run, at: at}
 	if run, worker, placed := o.engine.CurrentRun(in.Task); placed && run == in.Run && worker == s.entry.ID {
 		if j := o.engine.Job(in.Task.Job); j != nil && !j.Started {
--- a/internal/leader/take.go
+++ b/internal/leader/take.go
@@ -13,8 +13,8 @@
 )
 
 // takeIfFree reads the ownership row and takes it if it is free: absent, released, or unchanged for too
-// long while the store answered. ownerAnswers says whether the owner answered the last poll.
-func (l *Candidate) takeIfFree(ctx context.Context, ownerAnswers bool) {
+// long while the store answered. p is the owner's answer to the last poll, the zero Pulse if there was none.
+func (l *Candidate) takeIfFree(ctx context.Context, p Pulse) {
 	asked := l.now()
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	row, err := l.Rows.Get(readCtx, OwnershipTable, "", ownershipKey)
@@ -42,7 +42,7 @@
 			l.setOwnerAddr(r.Addr)
 		}
 	}
-	if !l.mayTake(row, r, ownerAnswers, ownerAnswers && l.now()-asked > slowReadThreshold) {
+	if !l.mayTake(row, r, p, l.now()-asked > slowReadThreshold) {
 		return
 	}
 	delay := l.takeDelay()
@@ -58,10 +58,10 @@
 	l.take(ctx, row, r)
 }
 
-// mayTake reports whether this node may take the row; slowStore means that the owner answers polls and the
-// store is slow. An owner that answers polls is given the same time after the store's return as after its last
-// commit: while the store was away for all, it could not commit.
-func (l *Candidate) mayTake(row rows.Row, r ownership, ownerAnswers, slowStore bool) bool {
+// mayTake reports whether this node may take the row; p is the owner's answer to the last poll, and slowStore
+// means that the store was slow to answer this node. An owner that answers polls is given the same time after the
+// store's return as after its last commit: while the store was away for all, it could not commit.
+func (l *Candidate) mayTake(row rows.Row, r ownership, p Pulse, slowStore bool) bool {
 	if l.resigned.Load() || l.handedOverAt != 0 && r.Released && l.now()-l.handedOverAt < settleTime {
 		return false
 	}
@@ -71,11 +71,14 @@
 	}
 	earlierIncarnation := r.Owner == l.Node && r.Addr == l.Addr && r.Nonce != l.nonce
 	limit := takeoverAge
-	if slowStore {
+	switch {
+	case p.Owner && slowStore:
 		limit = slowStoreTakeoverAge
+	case p.Owner && p.Stuck:
+		limit = stuckTakeoverAge
 	}
 	since := l.unchangedSince
-	if ownerAnswers {
+	if p.Owner {
 		since = max(since, l.storeBackAt)
 	}
 	return row.Version == 0 || r.Released || earlierIncarnation || l.now()-since >= limit
--- a/internal/leader/window.go
+++ b/internal/leader/window.go
@@ -18,6 +18,8 @@
 	// congestionDelay is how much longer than the fastest answer the smoothed one must take for this node's link
 	// or processor to count as full.
 	congestionDelay = 100 * time.Millisecond
+	// congestionAge is how long after the last answer to a start its lateness still counts.
+	congestionAge = 2 * time.Second
 	// timeoutFactor times the smoothed time of answers is the timeout of an order, within orderTimeout and
 	// maxOrderTimeout.
 	timeoutFactor   = 4
@@ -34,6 +36,7 @@
 	inFlight int
 	// smoothed is the smoothed time of answers, fastest the least of all.
 	smoothed, fastest time.Duration
+	answeredAt        time.Duration // when the last start was answered or timed out
 	lastCutAt         time.Duration
 }
 
@@ -56,6 +59,7 @@
 // answered records that a start was answered, or timed out, after a time; now is the present time.
 func (w *startWindow) answered(took, now time.Duration) {
 	w.inFlight--
+	w.answeredAt = now
 	limit := float64(w.size())
 	if w.fastest == 0 || took < w.fastest {
 		w.fastest = took
@@ -65,9 +69,9 @@
 	}
 	w.smoothed += time.Duration(float64(took-w.smoothed) * smoothingShare)
 	switch {
-	case took < w.fastest+congestionDelay/2 && !w.congested():
+	case took < w.fastest+congestionDelay/2 && !w.congested(now):
 		w.limit = min(limit+1, maxWindow)
-	case w.congested() && now-w.lastCutAt >= max(windowCutInterval, w.smoothed):
+	case w.congested(now) && now-w.lastCutAt >= max(windowCutInterval, w.smoothed):
 		w.limit, w.lastCutAt = max(limit*windowCutFactor, minWindow), now
 	default:
 		w.limit = limit
@@ -77,9 +81,11 @@
 // notSent records that a start was not sent after all.
 func (w *startWindow) notSent() { w.inFlight-- }
 
-// congested reports whether answers take so much longer than the fastest that this node's own link or processor
-// is the likely cause.
-func (w *startWindow) congested() bool { return w.smoothed > w.fastest+congestionDelay }
+// congested reports whether starts are answered so much later than the fastest that this node's own link or
+// processor is the likely cause.
+func (w *startWindow) congested(now time.Duration) bool {
+	return w.smoothed > w.fastest+congestionDelay && now-w.answeredAt < congestionAge
+}
 
 // timeout returns how long an order may take.
 func (w *startWindow) timeout() time.Duration {
--- a/internal/leader/window_test.go
+++ b/internal/leader/window_test.go
@@ -85,7 +85,7 @@
 		}
 		now += took
 		w.answered(took, now)
-		is.True(!w.congested())
+		is.True(!w.congested(now))
 	}
 	is.Equal(w.inFlight, 0)
 	is.True(w.size() > initialWindow)
@@ -100,11 +100,29 @@
 	is.True(w.size() < initialWindow)
 	l = &link{perStart: 100 * time.Microsecond, answer: 2 * time.Millisecond}
 	_, _, end := runWindow(w, l, 500)
-	is.True(!w.congested())
+	is.True(!w.congested(end))
 	is.True(w.size() > initialWindow)
 	is.True(end < 2*time.Second)
 }
 
+// Pattern: starts are lost, and none follow. Their lateness must not excuse the silence of workers for ever.
+func TestStartWindowForgetsLateness(t *testing.T) {
+	is := is.New(t)
+	w := &startWindow{}
+	now := time.Duration(0)
+	for i := range 40 {
+		w.inFlight++
+		took := time.Millisecond
+		if i > 10 {
+			took = orderTimeout
+		}
+		now += took
+		w.answered(took, now)
+	}
+	is.True(w.congested(now))
+	is.True(!w.congested(now + congestionAge))
+}
+
 func TestStartWindowBudget(t *testing.T) {
 	is := is.New(t)
 	w := &startWindow{}
