--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -510,9 +510,17 @@
 	return out, ok
 }
 
-// Stats returns the scheduler's statistics; ok is false if the owner has ended or ctx ends first.
-func (o *Owner) Stats(ctx context.Context) (st sched.Stats, ok bool) {
-	ok = o.postAndWait(ctx, func() { st = o.engine.Stats(o.moment()) })
+// Stats holds the scheduler's counts, the starts that may be in flight, and those that are not sent yet.
+type Stats struct {
+	sched.Stats
+	StartWindow, StartsWaiting int
+}
+
+// Stats returns the owner's statistics; ok is false if the owner has ended or ctx ends first.
+func (o *Owner) Stats(ctx context.Context) (st Stats, ok bool) {
+	ok = o.postAndWait(ctx, func() {
+		st = Stats{o.engine.Stats(o.moment()), o.starts.size(), len(o.pendingStarts) + len(o.readyStarts)}
+	})
 	return st, ok
 }
 
--- a/internal/metric/work.go
+++ b/internal/metric/work.go
@@ -26,8 +26,10 @@
 	Placed     int
 	Quarantine int
 	Silent     int
-	StoreFails int64
-	Dropped    int64
+	// StartWindow is how many starts may be in flight, StartsWaiting how many are decided and not sent.
+	StartWindow, StartsWaiting int
+	StoreFails                 int64
+	Dropped                    int64
 }
 
 // Work holds the instruments of a node on the platform. A nil Work records nothing.
@@ -61,6 +63,8 @@
 	{"runs_placed", "Runs that are placed on workers."},
 	{"workers_quarantined", "Workers that get nothing because runs fail there."},
 	{"workers_silent", "Workers that do not answer."},
+	{"starts_window", "Starts that the owner may have in flight, by how promptly they are answered."},
+	{"starts_waiting", "Starts that are decided and not sent yet."},
 	{"store_failures_total", "Calls of the owner to the store that failed."},
 	{"log_lines_dropped_total", "Log lines dropped because the output stood still."},
 }
@@ -119,6 +123,8 @@
 		"runs_placed":              func(g WorkGauges) float64 { return float64(g.Placed) },
 		"workers_quarantined":      func(g WorkGauges) float64 { return float64(g.Quarantine) },
 		"workers_silent":           func(g WorkGauges) float64 { return float64(g.Silent) },
+		"starts_window":            func(g WorkGauges) float64 { return float64(g.StartWindow) },
+		"starts_waiting":           func(g WorkGauges) float64 { return float64(g.StartsWaiting) },
 		"store_failures_total":     func(g WorkGauges) float64 { return float64(g.StoreFails) },
 		"log_lines_dropped_total":  func(g WorkGauges) float64 { return float64(g.Dropped) },
 	} {
