Bound the tasks of a job, and fit its record into a row

Cause: a job's repetitions had no bound. One malformed job (repeats:) was stored, and each owner would have kept a state for each of its tasks, so that one node after the other would have run out of memory. And a record of 1,410 placed tasks, as the widest jobs of the large fleet may have, is over 100 KB of JSON, where a row holds 64 KB: the store would have refused the owner's transaction for ever.

Change: 10,000 tasks at most in all steps and repetitions, refused as invalid at once; records over 16 KB are compressed, and ended tasks store no more than that. Only an owner that was polled in vain is silent.

--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -245,8 +245,8 @@
 	}
 	excluded := map[string]bool{}
 	for _, r := range records.Rows {
-		var rec sched.Record
-		if json.Unmarshal(r.Value, &rec) == nil && (rec.Started || rec.Final != "") {
+		rec, err := sched.DecodeRecord(r.Value)
+		if err == nil && (rec.Started || rec.Final != "") {
 			excluded[r.Key] = true
 		}
 	}
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -79,7 +79,8 @@
 			delete(o.dirtyJobs, id)
 			continue
 		}
-		value, err := json.Marshal(j.Record())
+		record := j.Record()
+		value, err := record.Encode()
 		if err != nil {
 			o.lead.Log.Emit(event.RowCorrupt).Str("table", RecordTable).Str("key", id).Err(err).Send()
 			delete(o.dirtyJobs, id)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -306,12 +305,12 @@
 	if l.resigned.Load() {
 		return
 	}
-	p := l.pollOwner(ctx)
+	p, silent := l.pollOwner(ctx)
 	if p.healthy() {
 		l.lastRowValid = false
 		return
 	}
-	l.takeIfFree(ctx, p)
+	l.takeIfFree(ctx, p, silent)
 }
 
 // handOverToLarger releases the ownership if a node with clearly more cores has polled: an owner that can't
@@ -365,8 +364,8 @@
 	if row.Version == 0 {
 		return JobState{Known: true, State: sched.Queued}, nil
 	}
-	var r sched.Record
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	r, err := sched.DecodeRecord(row.Value)
+	if err != nil {
 		return JobState{}, fmt.Errorf("decode the record of job %s: %w", id, err)
 	}
 	switch {
--- a/internal/leader/poll.go
+++ b/internal/leader/poll.go
@@ -60,19 +60,19 @@
 	return l.pollerCores
 }
 
-// pollOwner polls the node that was last known as the owner and returns its answer, the zero Pulse if there was
-// none.
-func (l *Candidate) pollOwner(ctx context.Context) Pulse {
+// pollOwner polls the node that was last known as the owner and returns its answer. Without an answer it is the zero
+// Pulse; silent then says whether a node was polled.
+func (l *Candidate) pollOwner(ctx context.Context) (p Pulse, silent bool) {
 	addr := l.OwnerAddr()
 	if addr == "" || addr == l.Addr {
-		return Pulse{}
+		return Pulse{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	asked := l.now()
 	p, err := l.Poll(ctx, addr)
 	if err != nil {
-		return Pulse{}
+		return Pulse{}, true
 	}
 	if p.Owner {
 		l.polledVersion, l.polledVersionAt = p.Version, asked-time.Duration(p.AgeMs)*time.Millisecond
@@ -81,7 +81,7 @@
 		l.nodeCount = p.Nodes
 		l.mu.Unlock()
 	}
-	return p
+	return p, false
 }
 
 // healthy reports whether the answering node is an owner that has committed recently.
--- /dev/null
+++ b/internal/leader/starts.go
@@ -0,0 +1,157 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"greengageline/internal/event"
+	"greengageline/internal/orders"
+	"greengageline/internal/sched"
+)
+
+// sendReadyStarts sends the starts whose records are durable, in order, as far as the window over all workers
+// and the bound of each worker allow.
+func (o *Owner) sendReadyStarts() {
+	kept := o.readyStarts[:0]
+	for i, order := range o.readyStarts {
+		if o.starts.full() {
+			kept = append(kept, o.readyStarts[i:]...)
+			break
+		}
+		if s := o.sessions[order.Worker]; s != nil && len(s.startsInFlight) >= maxStartsInFlight {
+			kept = append(kept, order)
+			continue
+		}
+		o.sendStart(order)
+	}
+	o.readyStarts = kept
+}
+
+// sendStart sends a start, or rejects it if it must no longer be sent.
+func (o *Owner) sendStart(order sched.Order) {
+	s := o.sessions[order.Worker]
+	run, worker, placed := o.engine.CurrentRun(order.Task)
+	if !placed || run != order.Run || worker != order.Worker {
+		return
+	}
+	j := o.engine.Job(order.Task.Job)
+	if s == nil || s.closed || j == nil || !j.Open() || !o.mayStart() || o.engine.Stopping(order.Task) {
+		o.engine.End(order.Task, order.Run, sched.Refused, "", o.moment())
+		o.passDue = true
+		return
+	}
+	in := orders.Start{
+		Task: order.Task, Run: order.Run, Payload: j.Work.Payload, Epoch: o.epoch,
+		DeadlineMs: s.leaseDeadline(), Checkpoint: order.Checkpoint, Ticket: order.Ticket,
+	}
+	s.startsInFlight[order.Task] = order.Run
+	s.leaseUntil = max(s.leaseUntil, o.lead.now()+o.maxRunLife())
+	o.starts.inFlight++
+	e, sentAt, timeout := s.entry, o.lead.now(), o.starts.timeout()
+	o.spawn(func() { o.callStart(s, e, in, sentAt, timeout) })
+}
+
+// callStart calls the worker to start a run. If the worker's clock is not known it first reads it with a
+// hold, to compute the lease.
+func (o *Owner) callStart(s *session, e orders.Entry, in orders.Start, sentAt, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(o.ctx, timeout)
+	defer cancel()
+	err := error(nil)
+	leaseFrom := sentAt
+	if in.DeadlineMs == 0 {
+		var out orders.HoldReply
+		out, err = o.lead.Fleet.Hold(ctx, e, orders.Hold{Epoch: in.Epoch})
+		in.DeadlineMs = out.ClockMs + o.lead.Bounds.MaxLease.Milliseconds()
+		leaseFrom = o.lead.now()
+	}
+	var clockMs int64
+	switch {
+	case err != nil:
+		err = asNotSent(err)
+	case !o.mayStart() || o.lead.now()-sentAt > timeout+holdSlack:
+		err = orders.ErrNotSent // the process was suspended
+	default:
+		clockMs, err = o.lead.Fleet.Start(ctx, e, in)
+	}
+	at := o.lead.now()
+	o.post(func() {
+		o.recordStartTime(at-sentAt, at, err)
+		s.leaseUntil = max(s.leaseUntil, leaseFrom+o.maxRunLife())
+		s.handleStart(in, clockMs, at, err)
+		o.sendReadyStarts()
+	})
+}
+
+// recordStartTime records in the window how long a start took, and logs when this node's link or processor
+// becomes full and when it no longer is.
+func (o *Owner) recordStartTime(took, now time.Duration, err error) {
+	if errors.Is(err, orders.ErrNotSent) {
+		o.starts.notSent()
+		return
+	}
+	before := o.starts.congested(now)
+	o.starts.answered(took, now)
+	if after := o.starts.congested(now); after != before {
+		o.lead.Log.Emit(event.StartsLimited).Bool("limited", after).Int("window", o.starts.size()).Int("backlog", len(o.readyStarts)).
+			Int64("answer_ms", o.starts.smoothed.Milliseconds()).Int64("epoch", o.epoch).Send()
+	}
+}
+
+// asNotSent converts the failure of the hold before a start into an error which proves that the start did
+// nothing.
+func asNotSent(err error) error {
+	if orders.HadNoEffect(err) {
+		return err
+	}
+	return orders.ErrNotSent
+}
+
+// handleStart handles the outcome of a start.
+func (s *session) handleStart(in orders.Start, clockMs int64, at time.Duration, err error) {
+	o := s.o
+	o.lead.Metrics.orderSent("start", err)
+	if s.startsInFlight[in.Task] == in.Run {
+		delete(s.startsInFlight, in.Task)
+	}
+	if err != nil {
+		s.handleStartFailure(in, at, err)
+		return
+	}
+	s.recordClock(clockMs, at)
+	s.answeredAt = at
+	o.confirmedRuns[in.Task] = startOutcome{run: in.Run, at: at}
+	if run, worker, placed := o.engine.CurrentRun(in.Task); placed && run == in.Run && worker == s.entry.ID {
+		if j := o.engine.Job(in.Task.Job); j != nil && !j.Started {
+			o.lead.Metrics.jobStarted(o.sinceAccepted(j))
+		}
+		o.engine.Confirm(in.Task, in.Run, 0, "", o.moment())
+	}
+	if s.holdsInFlight == 0 && s.needsHold() {
+		s.sendHold(holdWait)
+	}
+}
+
+// handleStartFailure handles a start that failed, by whether it may still be carried out.
+func (s *session) handleStartFailure(in orders.Start, at time.Duration, err error) {
+	o := s.o
+	o.lead.Log.Emit(event.StartFailed).Str("task", in.Task.String()).Int64("run", in.Run).Str("worker", s.entry.ID).
+		Int64("epoch", o.epoch).Err(err).Send()
+	switch {
+	case errors.Is(err, orders.ErrFenced):
+		o.lead.Log.Emit(event.LeadLost).Int64("epoch", o.epoch).Str("reason", "a worker has accepted orders of a later epoch").Send()
+		o.cancel()
+	case errors.Is(err, orders.ErrBadTicket):
+		o.engine.RejectTicket(in.Task, in.Run, o.moment())
+		o.passDue = true
+	case orders.HadNoEffect(err):
+		o.engine.Reject(in.Task, in.Run, o.moment())
+		o.passDue = true
+	default:
+		// The next hold tells whether the worker has the run. If it has not, the run is stopped, so that it
+		// can't begin later.
+		s.incarnationConfirmed = false
+		s.unconfirmedStarts[in.Task] = startOutcome{run: in.Run, at: at}
+		s.sendHold(0)
+	}
+}
--- a/internal/leader/take.go
+++ b/internal/leader/take.go
@@ -13,24 +13,53 @@
 )
 
 // takeIfFree reads the ownership row and takes it if it is free: absent, released, or unchanged for too
-// long while the store answered. p is the owner's answer to the last poll, the zero Pulse if there was none.
-func (l *Candidate) takeIfFree(ctx context.Context, p Pulse) {
+// long while the store answered. p is the owner's answer to the last poll; silent says that it was polled and did
+// not answer.
+func (l *Candidate) takeIfFree(ctx context.Context, p Pulse, silent bool) {
 	asked := l.now()
-	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	row, err := l.Rows.Get(readCtx, OwnershipTable, "", ownershipKey)
-	cancel()
+	row, r, ok := l.readOwnership(ctx)
+	if !ok {
+		return
+	}
+	wait, ok := l.takeableIn(row, r, takeoverLimit(p, silent, l.now()-asked > slowReadThreshold), p.Owner)
+	if !ok || wait > 0 && !silent {
+		return
+	}
+	// All nodes that know that the owner is silent go on at the moment at which its row may be taken. If each
+	// polled it again first, a small node could come before a large one.
+	delay := wait + l.takeDelay()
+	clock.Sleep(ctx, delay)
+	if delay > rereadDelay {
+		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		again, err := l.Rows.Get(readCtx, OwnershipTable, "", ownershipKey)
+		cancel()
+		if err != nil || again.Version != row.Version {
+			return // another node took the row first, or the owner lives
+		}
+	}
+	if l.resigned.Load() {
+		return
+	}
+	l.take(ctx, row, r)
+}
+
+// readOwnership reads the ownership row and records since when it has been unchanged; ok is false if it can't be
+// read.
+func (l *Candidate) readOwnership(ctx context.Context) (row rows.Row, r ownership, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	row, err := l.Rows.Get(ctx, OwnershipTable, "", ownershipKey)
 	if err != nil {
 		l.lastRowValid, l.storeAway = false, true
-		return
+		return row, r, false
 	}
 	if l.storeAway {
 		l.storeAway, l.storeBackAt = false, l.now()
 	}
-	var r ownership
 	if row.Version != 0 {
 		if err := json.Unmarshal(row.Value, &r); err != nil {
 			l.Log.Emit(event.RowCorrupt).Str("table", OwnershipTable).Str("key", ownershipKey).Err(err).Send()
-			return
+			return row, r, false
 		}
 	}
 	if !l.lastRowValid || row.Version != l.lastRow.Version {
@@ -42,33 +71,27 @@
 			l.setOwnerAddr(r.Addr)
 		}
 	}
-	wait, ok := l.takeableIn(row, r, p, l.now()-asked > slowReadThreshold)
-	if !ok || wait > 0 && (p.Owner || wait > silentOwnerTakeoverAge) {
-		return
-	}
-	// All nodes that know that the owner is silent go on at the moment at which its row may be taken. If each
-	// polled it again first, a small node could come before a large one.
-	delay := wait + l.takeDelay()
-	clock.Sleep(ctx, delay)
-	if delay > rereadDelay {
-		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		again, err := l.Rows.Get(readCtx, OwnershipTable, "", ownershipKey)
-		cancel()
-		if err != nil || again.Version != row.Version {
-			return // another node took the row first, or the owner lives
-		}
-	}
-	if l.resigned.Load() {
-		return
+	return row, r, true
+}
+
+// takeoverLimit returns how long the row must be unchanged before this node may take it. p and silent are the
+// outcome of the last poll of the owner, and slowStore means that the store was slow to answer this node.
+func takeoverLimit(p Pulse, silent, slowStore bool) time.Duration {
+	switch {
+	case silent:
+		return silentOwnerTakeoverAge
+	case p.Owner && slowStore:
+		return slowStoreTakeoverAge
+	case p.Owner && p.Stuck:
+		return stuckTakeoverAge
 	}
-	l.take(ctx, row, r)
+	return takeoverAge
 }
 
-// takeableIn returns in how long this node may take the row if it stays unchanged, and false if it may not. p is
-// the owner's answer to the last poll, and slowStore means that the store was slow to answer this node. An owner that
-// answers polls is given the same time after the store's return as after its last commit: while the store was away
+// takeableIn returns in how long this node may take the row if it stays unchanged, and false if it may not. An owner
+// that answers polls is given the limit after the store's return as after its last commit: while the store was away
 // for all, it could not commit.
-func (l *Candidate) takeableIn(row rows.Row, r ownership, p Pulse, slowStore bool) (time.Duration, bool) {
+func (l *Candidate) takeableIn(row rows.Row, r ownership, limit time.Duration, ownerAnswers bool) (time.Duration, bool) {
 	now := l.now()
 	if l.resigned.Load() || l.handedOverAt != 0 && r.Released && now-l.handedOverAt < settleTime {
 		return 0, false
@@ -81,17 +104,8 @@
 	if row.Version == 0 || r.Released || earlierIncarnation {
 		return 0, true
 	}
-	limit := takeoverAge
-	switch {
-	case !p.Owner:
-		limit = silentOwnerTakeoverAge
-	case slowStore:
-		limit = slowStoreTakeoverAge
-	case p.Stuck:
-		limit = stuckTakeoverAge
-	}
 	since := l.unchangedSince
-	if p.Owner {
+	if ownerAnswers {
 		since = max(since, l.storeBackAt)
 	}
 	return max(0, since+limit-now), true
--- a/internal/sched/record.go
+++ b/internal/sched/record.go
@@ -1,8 +1,12 @@
 package sched
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+
+	"github.com/klauspost/compress/gzip"
 
 	"greengageline/pkg/model"
 )
@@ -75,10 +79,59 @@
 		if t.Phase != Placed {
 			r.Tasks[i].Worker = ""
 		}
+		if t.Phase == Ended {
+			r.Tasks[i] = taskRecord{Phase: Ended} // the rest is of use to further runs only
+		}
 	}
 	return r
 }
 
+const (
+	// maxPlainRecord is the size in bytes up to which a record is stored as plain JSON. Longer ones are
+	// compressed, so that each fits into one row of the store.
+	maxPlainRecord = 16 << 10
+	// gzipMagic is the first byte of a compressed record; JSON never begins with it.
+	gzipMagic = 0x1f
+)
+
+// Encode returns the record as it is stored.
+func (r *Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil || len(data) <= maxPlainRecord {
+		return data, err
+	}
+	var out bytes.Buffer
+	z, err := gzip.NewWriterLevel(&out, gzip.BestCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := z.Write(data); err != nil {
+		return nil, err
+	}
+	if err := z.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// DecodeRecord decodes and checks a stored record.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	if len(data) > 0 && data[0] == gzipMagic {
+		z, err := gzip.NewReader(bytes.NewReader(data))
+		if err != nil {
+			return r, fmt.Errorf("uncompress record: %w", err)
+		}
+		if data, err = io.ReadAll(z); err != nil {
+			return r, fmt.Errorf("uncompress record: %w", err)
+		}
+	}
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("decode record: %w", err)
+	}
+	return r, r.Check()
+}
+
 // Check returns an error that wraps model.ErrInvalid if Final is neither empty nor a final state.
 func (r *Record) Check() error {
 	switch r.Final {
@@ -96,11 +149,8 @@
 	if len(data) == 0 {
 		return j, nil
 	}
-	var r Record
-	if err := json.Unmarshal(data, &r); err != nil {
-		return nil, fmt.Errorf("decode the record of job %s: %w", w.ID, err)
-	}
-	if err := r.Check(); err != nil {
+	r, err := DecodeRecord(data)
+	if err != nil {
 		return nil, fmt.Errorf("record of job %s: %w", w.ID, err)
 	}
 	j.Final, j.EndedMs, j.Started = r.Final, r.EndedMs, r.Started
--- a/pkg/model/work.go
+++ b/pkg/model/work.go
@@ -45,9 +45,11 @@
 const (
 	// MaxSteps is the maximum number of steps in one Work.
 	MaxSteps = 100
-	// MaxStepTasks is the maximum number of tasks in one step. A record of that many tasks
-	// fits into one row of the store.
+	// MaxStepTasks is the maximum number of tasks in one step.
 	MaxStepTasks = 1000
+	// MaxWorkTasks is the maximum number of tasks in all steps and repetitions of one Work. A
+	// record of that many tasks fits into one row of the store.
+	MaxWorkTasks = 10_000
 )
 
 // Step is a group of identical tasks of a Work.
@@ -121,10 +123,15 @@
 	if w.Repeats < 0 || w.EveryMs < 0 {
 		return invalid("repeats", "is negative")
 	}
+	tasks := 0
 	for i := range w.Steps {
 		if err := w.Steps[i].check(i); err != nil {
 			return err
 		}
+		tasks += w.Steps[i].Tasks
+	}
+	if w.Times() > MaxWorkTasks/tasks {
+		return invalid("repeats", "is %d, want at most %d in all of the %d tasks", w.Repeats, MaxWorkTasks, tasks)
 	}
 	return nil
 }
