Send waiting starts only after a recent commit

Cause: since starts wait for the window, an owner could send them up to 2.5 s after its last commit, while others may take over after 0.7 s. Workers that the next owner has not reached yet would have taken them, and it would have found these runs listed or not by chance. A planned hand-over could also drop starts that waited.

Ruled out: two runs of one task (the record names the worker and the run, and the next owner's first hold raises the epoch there before it decides anything).

Tests: TestWaitingStartsNeedARecentCommit (red without the check: it sends at once).

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -201,14 +201,14 @@
 	}
 }
 
-// release gives the ownership up once the transaction in flight is committed and no changed records are
-// left, so that another node can take it at once. It returns when the owner has ended or ctx ends.
+// release gives the ownership up once the transaction in flight is committed and no changed records and no
+// starts to send are left, so that another node can take it at once. It returns when the owner has ended or ctx ends.
 func (o *Owner) release(ctx context.Context) {
 	asked := o.postAndWait(ctx, func() { o.releasing = true })
 	for asked && ctx.Err() == nil && o.ctx.Err() == nil {
 		released := false
 		o.postAndWait(ctx, func() {
-			if o.inFlight || len(o.dirtyJobs) > 0 {
+			if o.inFlight || len(o.dirtyJobs) > 0 || len(o.readyStarts) > 0 {
 				return
 			}
 			t := o.buildTxn()
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -11,8 +11,12 @@
 )
 
 // sendReadyStarts sends the starts whose records are durable, in order, as far as the window over all workers
-// and the bound of each worker allow.
+// and the bound of each worker allow. While the last commit is older than takeoverAge, another node may have taken
+// over, and they wait for the next one.
 func (o *Owner) sendReadyStarts() {
+	if o.commitAge() >= takeoverAge {
+		return
+	}
 	kept := o.readyStarts[:0]
 	for i, order := range o.readyStarts {
 		if o.starts.full() {
--- a/internal/leader/window_test.go
+++ b/internal/leader/window_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"greengageline/internal/sched"
 )
 
 // link is a model of a link that sends one start after another, each of which a worker answers after a time.
@@ -134,3 +136,20 @@
 	w.notSent()
 	is.True(!w.full())
 }
+
+// Pattern: an owner is paused, or turned away by the store, while starts wait for the window. Another node may have
+// taken over meanwhile, so they must wait until a commit shows that none has.
+func TestWaitingStartsNeedARecentCommit(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	l := &Candidate{Now: func() time.Duration { return now }}
+	o := newOwner(l, ownership{Epoch: 1}, 1, now)
+	defer o.cancel()
+	o.readyStarts = []sched.Order{{Task: sched.TaskRef{Job: "a"}, Run: 1, Worker: "w"}}
+	now += takeoverAge
+	o.sendReadyStarts()
+	is.Equal(len(o.readyStarts), 1)
+	o.committedAt.Store(int64(now))
+	o.sendReadyStarts()
+	is.Equal(len(o.readyStarts), 0) // the order has no placed task any more and is dropped
+}
