--- a/internal/leader/take_test.go
+++ b/internal/leader/take_test.go
@@ -29,17 +29,19 @@
 	})
 }
 
+// storeFailures are the ways in which a store that is away for a node ends a call.
+var storeFailures = map[string]func(ctx context.Context) error{
+	"refused": func(context.Context) error { return rows.ErrRefused },
+	"without an answer": func(ctx context.Context) error {
+		<-ctx.Done()
+		return rows.ErrOutcomeUnknown
+	},
+}
+
 // An owner that answers polls, but whose transactions the store refuses or does not answer, must be
 // replaced as fast as a dead one: once its row has been unchanged for takeoverAge.
 func TestOwnerWithoutStoreIsReplacedInTime(t *testing.T) {
-	cases := map[string]func(ctx context.Context) error{
-		"refused": func(context.Context) error { return rows.ErrRefused },
-		"without an answer": func(ctx context.Context) error {
-			<-ctx.Done()
-			return rows.ErrOutcomeUnknown
-		},
-	}
-	for name, answer := range cases {
+	for name, answer := range storeFailures {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -68,14 +70,7 @@
 // Pattern: the store is away for all nodes and comes back. The owner answers polls all the while, so that it
 // keeps the ownership: another one would only read everything anew.
 func TestOwnershipStaysWhenTheStoreComesBack(t *testing.T) {
-	cases := map[string]func(ctx context.Context) error{
-		"refused": func(context.Context) error { return rows.ErrRefused },
-		"without an answer": func(ctx context.Context) error {
-			<-ctx.Done()
-			return rows.ErrOutcomeUnknown
-		},
-	}
-	for name, answer := range cases {
+	for name, answer := range storeFailures {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
