Log for what work waits, and what is stopped for other work

Cause: the logs told when and where a run starts and for whom it is stopped, but not why a step waits nor how old and how urgent a stopped run was.

Change: event 328 work-waiting with its reason; queue, priority and ran_ms in 322 task-stopped, queue in 320 task-placed; metric run_stopped_seconds by priority. A step is reported at most once a second, when its reason changes.

--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// runStopped counts a run of a priority that the scheduler has stopped and that was placed for ran.
+func (c *Metrics) runStopped(priority int, ran time.Duration) {
+	if c != nil {
+		c.Meter.Stop(priority, ran)
+	}
+}
+
 func (c *Metrics) storeFailed() {
 	if c != nil {
 		c.StoreFailed.Add(1)
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -257,13 +257,19 @@
 	}
 	for _, order := range o.engine.TakeOrders() {
 		if order.Stop {
+			o.lead.Metrics.runStopped(order.Priority, o.lead.now()-order.PlacedAt)
 			o.sendStop(order)
 			continue
 		}
 		delete(o.confirmedRuns, order.Task)
 		o.pendingStarts = append(o.pendingStarts, order)
 		o.lead.Log.Emit(event.TaskPlaced).Str("task", order.Task.String()).Int64("run", order.Run).
-			Str("worker", order.Worker).Str("reason", order.Reason).Int64("epoch", o.epoch).Uint64("plan", o.planVersion).Send()
+			Str("worker", order.Worker).Str("queue", order.Queue).Str("reason", order.Reason).
+			Int64("epoch", o.epoch).Uint64("plan", o.planVersion).Send()
+	}
+	for _, w := range o.engine.TakeWaits() {
+		o.lead.Log.Emit(event.WorkWaiting).Str("job", w.Step.Job).Int("step", w.Step.Step).Str("queue", w.Queue).Int("priority", w.Priority).
+			Int("waiting", w.Waiting).Int64("for_ms", w.For.Milliseconds()).Str("reason", string(w.Reason)).Int64("epoch", o.epoch).Send()
 	}
 	for _, q := range o.engine.TakeQuestions() {
 		o.askAdviser(q)
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -381,8 +381,12 @@
 	}
 	e, timeout := s.entry, o.starts.timeout()
 	s.lastStopAt[order.Task] = o.lead.now()
-	o.lead.Log.Emit(event.TaskStopped).Str("task", order.Task.String()).Int64("run", order.Run).Str("worker", order.Worker).
-		Str("reason", order.Reason).Int64("epoch", o.epoch).Send()
+	line := o.lead.Log.Emit(event.TaskStopped).Str("task", order.Task.String()).Int64("run", order.Run).Str("worker", order.Worker).
+		Str("reason", order.Reason).Int64("epoch", o.epoch)
+	if order.Queue != "" {
+		line = line.Str("queue", order.Queue).Int("priority", order.Priority).Int64("ran_ms", (o.lead.now() - order.PlacedAt).Milliseconds())
+	}
+	line.Send()
 	o.spawn(func() {
 		for range stopTries {
 			if !o.mayOrder() {
--- a/internal/metric/work.go
+++ b/internal/metric/work.go
@@ -42,6 +42,7 @@
 	orders     metric.Int64Counter
 	startDelay metric.Float64Histogram
 	jobTime    metric.Float64Histogram
+	stopTime   metric.Float64Histogram
 }
 
 // WorkNames lists the metrics with their descriptions, which docs/OPERATIONS.md repeats.
@@ -52,6 +53,7 @@
 	{"work_start_seconds", "Time from acceptance to a job's first start."},
 	{"work_end_seconds", "Time from acceptance to a job's end."},
 	{"runs_ended_total", "Runs that ended, by cause."},
+	{"run_stopped_seconds", "Time from the placement of a run to the decision to stop it, by the priority of its queue."},
 	{"orders_total", "Orders to workers, by kind and outcome."},
 	{"owner", "1 if this node owns the work."},
 	{"owner_epoch", "Epoch of the ownership, 0 elsewhere."},
@@ -96,6 +98,7 @@
 	}
 	for name, h := range map[string]*metric.Float64Histogram{
 		"call_seconds": &w.callTime, "work_start_seconds": &w.startDelay, "work_end_seconds": &w.jobTime,
+		"run_stopped_seconds": &w.stopTime,
 	} {
 		if *h, err = m.Float64Histogram(name, metric.WithDescription(description(name)),
 			metric.WithExplicitBucketBoundaries(0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 120, 600)); err != nil {
@@ -180,6 +183,13 @@
 	}
 }
 
+// Stop records ran, the time for which a run of a priority was placed before the scheduler stopped it.
+func (w *Work) Stop(priority int, ran time.Duration) {
+	if w != nil {
+		w.stopTime.Record(context.Background(), ran.Seconds(), metric.WithAttributes(attribute.Int("priority", priority)))
+	}
+}
+
 // Order counts an order to a worker by kind and outcome.
 func (w *Work) Order(kind, outcome string) {
 	if w != nil {
--- a/internal/metric/work_test.go
+++ b/internal/metric/work_test.go
@@ -18,6 +18,7 @@
 	w.Ended("completed", time.Second)
 	w.Begun(time.Second)
 	w.End("done")
+	w.Stop(1, time.Second)
 	w.Order("start", "done")
 	rec := httptest.NewRecorder()
 	w.Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -38,6 +38,8 @@
 	lastUrgentAt time.Duration
 	// lastStallCheck is when runs were last checked for progress.
 	lastStallCheck time.Duration
+	// waits holds the reports about waiting steps since the last call of TakeWaits.
+	waits []Wait
 	// questions holds the questions decided on since the last call of TakeQuestions. questionsInFlight
 	// counts the questions without an answer, including these.
 	questions         []Question
@@ -359,7 +361,10 @@
 		return
 	}
 	t.Stopping = true
-	e.orders = append(e.orders, Order{Task: ref, Run: t.Run, Stop: true, Worker: t.Worker, Reason: reason})
+	q := e.queue(e.jobs[ref.Job])
+	e.orders = append(e.orders, Order{
+		Task: ref, Run: t.Run, Stop: true, Worker: t.Worker, Reason: reason, Queue: q.Name, Priority: q.Priority, PlacedAt: t.placedAt,
+	})
 }
 
 // TakeOrders returns the orders decided on since the last call.
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -35,13 +35,16 @@
 			continue
 		}
 		if g.lateness == tooLate && !g.guaranteed && e.utilization(g.queue.Pool) > tooLateMaxUtilization {
+			e.noteWait(g, TooLate, now)
 			continue
 		}
 		if e.heldBackForGuarantees(g, now) {
+			e.noteWait(g, ForHeadroom, now)
 			continue
 		}
 		key := g.shape()
 		if unplaceable[key] {
+			e.noteWait(g, ForRoom, now)
 			continue
 		}
 		if g.step.Gang && len(g.waiting) > e.startsLeft && e.startsLeft < budget {
@@ -49,6 +52,7 @@
 		}
 		if !e.place(g, now) {
 			unplaceable[key] = true
+			e.noteWait(g, ForRoom, now)
 			e.askAdviser(g, now)
 		}
 	}
@@ -465,7 +469,7 @@
 		run = e.lastRun
 		g.batch.run, g.batch.startedAt = run, now.Steady
 	}
-	g.batch.incomplete = false
+	g.batch.incomplete, g.batch.waitReason = false, ""
 	e.startsLeft -= len(g.waiting)
 	for pos, i := range g.waiting {
 		if pos > 0 && !g.step.Gang {
@@ -486,6 +490,7 @@
 		}
 		e.orders = append(e.orders, Order{
 			Task: ref, Run: t.Run, Worker: t.Worker, Checkpoint: checkpoint, Ticket: g.batch.advice.ticket(t.Worker), Reason: g.reason(),
+			Queue: g.queue.Name, Priority: g.queue.Priority, PlacedAt: now.Steady,
 		})
 	}
 	e.changedJobs[g.ref.Job] = true
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -100,6 +100,9 @@
 	reservedAt time.Duration
 	readyAt    time.Duration
 	ready      bool
+	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
+	waitReason     WaitReason
+	waitReportedAt time.Duration
 }
 
 // State is a job's state as its caller sees it.
@@ -213,4 +216,9 @@
 	Ticket string
 	// Reason is the reason for the order, for the log.
 	Reason string
+	// Queue and Priority are those of the job, and PlacedAt is when the run was placed; for the log. They are
+	// zero for a stop that the engine has not decided.
+	Queue    string
+	Priority int
+	PlacedAt time.Duration
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -109,6 +109,7 @@
 	"task-placed":    "task {task} goes to {worker} as run {run}: {reason} (epoch {epoch})",
 	"task-ended":     "task {task} run {run} ended on {worker}: {cause} (newest run: {present})",
 	"task-stopped":   "task {task} run {run} is stopped on {worker}: {reason}",
+	"work-waiting":   "step {step} waits with {waiting} tasks after {for_ms} ms: {reason}",
 	"task-vanished":  "task {task} run {run} is no longer known to {worker}",
 	"task-stray":     "task {task} run {run} runs on {worker} and should not",
 	"start-failed":   "start of task {task} run {run} on {worker} failed: {error}",
