Log which runs are lost with a worker, and whether it crashed

Cause: the log counted the runs that were given up with a worker, and named none, so neither the task that crashes workers nor the work that merely shared one could be found.

Change: event 329 task-lost for each run, with whether the worker crashed and for how long it had the run; worker-gone says it too. A worker has crashed if another incarnation has taken its place while it was neither leaving nor to be taken down.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -99,7 +99,7 @@
 	now := s.o.lead.now()
 	busy := s.o.engine.Busy(s.entry.ID)
 	if busy && s.silent && now > s.leaseUntil {
-		s.loseRuns("its leases have run out and it does not answer")
+		s.loseRuns("its leases have run out and it does not answer", false)
 		busy = false
 	}
 	if !busy && !s.listed {
@@ -115,14 +115,16 @@
 // shortest lease on the users' sites.
 const pendingEndsHoldInterval = time.Second
 
-// loseRuns records all runs of a worker that can no longer have them as lost.
-func (s *session) loseRuns(reason string) {
+// loseRuns records all runs of a worker that can no longer have them as lost. crashed says that the worker is
+// known to have crashed.
+func (s *session) loseRuns(reason string, crashed bool) {
 	n := 0
 	for ref, run := range s.o.engine.RunsOn(s.entry.ID) {
 		if _, known := s.o.confirmedRuns[ref]; !known && s.unconfirmedStarts[ref].run != run {
 			continue // its start has not been sent yet, or is in flight
 		}
 		n++
+		s.logLostRun(ref, run, crashed)
 		s.o.lead.Metrics.runEnded(sched.Lost)
 		s.o.engine.End(ref, run, sched.Lost, "", s.o.moment())
 	}
@@ -130,7 +132,24 @@
 		return
 	}
 	s.o.passDue = true
-	s.o.lead.Log.Emit(event.WorkerGone).Str("worker", s.entry.ID).Int("runs", n).Str("reason", reason).Int64("epoch", s.o.epoch).Send()
+	s.o.lead.Log.Emit(event.WorkerGone).Str("worker", s.entry.ID).Int("runs", n).Bool("crashed", crashed).Str("reason", reason).
+		Int64("epoch", s.o.epoch).Send()
+}
+
+// logLostRun logs a run that is lost with its worker. known_ms is for how long the worker had the run before
+// it answered last.
+func (s *session) logLostRun(ref sched.TaskRef, run int64, crashed bool) {
+	line := s.o.lead.Log.Emit(event.TaskLost).Str("task", ref.String()).Int64("run", run).Str("worker", s.entry.ID).Bool("crashed", crashed)
+	if c, ok := s.o.confirmedRuns[ref]; ok && c.run == run && c.at >= 0 {
+		line = line.Int64("known_ms", (s.answeredAt - c.at).Milliseconds())
+	}
+	line.Int64("epoch", s.o.epoch).Send()
+}
+
+// crashed reports whether the worker's end was a crash, given that another incarnation has taken its place:
+// it was neither leaving nor about to be taken down.
+func (s *session) crashed() bool {
+	return !s.entry.Leaving && s.o.waves.closedWorkers[s.entry.ID] != goingDown
 }
 
 // close ends the session; the scheduler forgets the worker.
@@ -333,7 +352,7 @@
 	if errors.Is(err, orders.ErrOtherIncarnation) {
 		// Another incarnation answers at the address: the one with the runs is gone.
 		s.leaseUntil = 0
-		s.loseRuns("another incarnation answers at its address")
+		s.loseRuns("another incarnation answers at its address", s.crashed())
 	}
 	// While this node's own link or processor is full, a late answer says nothing about the worker.
 	now := o.lead.now()
