Count the workers that crash under a task, keep suspects apart, and fail their jobs

Cause: a run that is lost with its worker ended as lost, whatever became of the worker, and nothing counted. Class of fault: a retry without a limit, for want of evidence that the request is the cause.

Evidence: the culprits had been at their worker for 10 ms or less at each crash, what shared it for 0 to 11 s. A worker that crashes closes its connections at once; one that is cut off lets calls time out. The test of the owner's changes found two more: a worker that crashed before its first answer was not known to have restarted, and evidence that came after the leases had ended was lost.

Change: crashes are counted by task and stored with the job. Work under which a worker crashed right after the start is a suspect: it starts only on workers where nothing but its own job runs, until it has lived through that time. The fake worker measures leases on its own clock after a restart; it took them for the simulation's before, so that a restarted one let every lease lapse.

Tests, failed before: TestTaskThatCrashesWorkersIsGivenUp (all six ways). New with the change: TestTaskThatCrashesWorkersFailsItsJobAlone, TestCrashesOutliveOwnerChange, TestCrashEvidence, TestSuspectRunsApartUntilItHasLivedThroughItsStart, TestSuspectStartsWithoutEmptyWorkerInTheEnd, TestOnlyCrashesCountAsCrashes, TestClosedConnectionIsToldFromSilence.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -141,7 +141,7 @@
 	{Advised, "advised", zerolog.InfoLevel, "The adviser was asked which workers may run a step; the line gives how many it allows, or the error."},
 	{StartsLimited, "starts-limited", zerolog.WarnLevel, "Workers answer starts late because this node's link or processor is full, or no longer so; fewer starts are sent at a time."},
 	{WorkWaiting, "work-waiting", zerolog.InfoLevel, "Tasks of a step have waited for a second or more; the line says for what, and is written again when that changes."},
-	{TaskLost, "task-lost", zerolog.WarnLevel, "A run was lost with its worker; the line says whether the worker crashed, and for how long it had had the run."},
+	{TaskLost, "task-lost", zerolog.WarnLevel, "A run was lost with its worker; the line says whether the worker crashed, for how long the run was there (-1: not known), how many have crashed under the task, and whether it must run apart."},
 	{WaveAsked, "wave-asked", zerolog.InfoLevel, "An operator asks for the upkeep of some VMs; the line gives how many, how many at once, and the time."},
 	{WaveTold, "wave-told", zerolog.InfoLevel, "The operator is told that a wave goes on or is completed."},
 	{UpkeepOrdered, "upkeep-ordered", zerolog.InfoLevel, "The platform was told to take a VM into upkeep; the line gives the error if it did not."},
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -184,7 +184,11 @@
 			if j := o.engine.Job(id); j != nil {
 				o.lead.Metrics.jobEnded(s, o.sinceAccepted(j))
 			}
-			o.lead.Log.Emit(event.WorkEnded).Str("job", id).Str("state", string(s)).Int64("epoch", o.epoch).Send()
+			line := o.lead.Log.Emit(event.WorkEnded).Str("job", id).Str("state", string(s))
+			if j := o.engine.Job(id); j != nil && j.Reason != "" {
+				line = line.Str("reason", j.Reason)
+			}
+			line.Int64("epoch", o.epoch).Send()
 		}
 	}
 	for s, n := range t.ackedEnds {
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -73,11 +73,14 @@
 	// committedVersion is the version of the ownership row after that commit. Any goroutine may read it.
 	committedVersion atomic.Uint64
 
-	engine         sched.Engine
-	work           map[string]*model.Work         // every known job's specification, by id
-	finals         map[string]sched.State         // durable final states
-	earlyCancels   map[string]bool                // cancellations of jobs that are not known yet
-	sessions       map[string]*session            // by worker id
+	engine       sched.Engine
+	work         map[string]*model.Work // every known job's specification, by id
+	finals       map[string]sched.State // durable final states
+	earlyCancels map[string]bool        // cancellations of jobs that are not known yet
+	sessions     map[string]*session    // by worker id
+	// silentAt has, by address, the workers that have not answered since runs there were given up, of which it is
+	// not known whether they have crashed. A later worker at the address tells.
+	silentAt       map[string]*session
 	confirmedRuns  map[sched.TaskRef]startOutcome // runs that their worker is certain to know
 	pendingStarts  []sched.Order                  // starts whose records are not durable yet
 	readyStarts    []sched.Order                  // starts whose records are durable, not sent yet
@@ -115,7 +118,7 @@
 		lead: l, epoch: row.Epoch, takenAt: sent, row: row, rowVersion: version, ctx: ctx, cancel: cancel,
 		inbox: make(chan func(), inboxSize), work: map[string]*model.Work{}, finals: map[string]sched.State{},
 		earlyCancels: map[string]bool{}, sessions: map[string]*session{}, confirmedRuns: map[sched.TaskRef]startOutcome{},
-		dirtyJobs: map[string]bool{},
+		dirtyJobs: map[string]bool{}, silentAt: map[string]*session{},
 	}
 	o.committedAt.Store(int64(sent))
 	o.committedVersion.Store(version)
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"greengageline/internal/clock"
@@ -55,7 +56,10 @@
 	silent                          bool
 	lastHoldAt                      time.Duration // when the last hold was sent
 	answeredAt                      time.Duration // when the worker last answered a hold or a start
-	holdsInFlight                   int
+	// outOfTouch is set from the first call that failed since then; disconnected says that the worker closed
+	// the connection in that call.
+	outOfTouch, disconnected bool
+	holdsInFlight            int
 	// ackedEnd is the highest end whose acknowledgement the worker has answered.
 	ackedEnd int64
 	// lastStopAt is when the stop of a run was last ordered.
@@ -63,6 +67,8 @@
 	// startsInFlight has the run of each start in flight, unconfirmedStarts the starts that got no answer.
 	startsInFlight    map[sched.TaskRef]int64
 	unconfirmedStarts map[sched.TaskRef]startOutcome
+	// lostRuns has the runs that were given up since the worker last answered. It may have crashed under them.
+	lostRuns map[sched.TaskRef]lostRun
 }
 
 // session returns the worker's session and creates it if there is none.
@@ -73,6 +79,7 @@
 			o: o, entry: e,
 			lastStopAt:     map[sched.TaskRef]time.Duration{},
 			startsInFlight: map[sched.TaskRef]int64{}, unconfirmedStarts: map[sched.TaskRef]startOutcome{},
+			lostRuns: map[sched.TaskRef]lostRun{},
 		}
 		o.sessions[e.ID] = s
 	}
@@ -124,9 +131,7 @@
 			continue // its start has not been sent yet, or is in flight
 		}
 		n++
-		s.logLostRun(ref, run, crashed)
-		s.o.lead.Metrics.runEnded(sched.Lost)
-		s.o.engine.End(ref, run, sched.Lost, "", s.o.moment())
+		s.loseRun(ref, run, crashed)
 	}
 	if n == 0 {
 		return
@@ -136,14 +141,86 @@
 		Int64("epoch", s.o.epoch).Send()
 }
 
-// logLostRun logs a run that is lost with its worker. known_ms is for how long the worker had the run before
-// it answered last.
-func (s *session) logLostRun(ref sched.TaskRef, run int64, crashed bool) {
-	line := s.o.lead.Log.Emit(event.TaskLost).Str("task", ref.String()).Int64("run", run).Str("worker", s.entry.ID).Bool("crashed", crashed)
-	if c, ok := s.o.confirmedRuns[ref]; ok && c.run == run && c.at >= 0 {
-		line = line.Int64("known_ms", (s.answeredAt - c.at).Milliseconds())
+// loseRun records a run as lost with its worker, which may be known to have crashed. If it is not known, the run is
+// kept in case that turns out later.
+func (s *session) loseRun(ref sched.TaskRef, run int64, crashed bool) {
+	o := s.o
+	known := s.knownFor(ref, run)
+	cause := sched.Lost
+	if crashed || o.engine.Disconnected(ref, run) {
+		cause = sched.Crashed
+		o.engine.EndCrashed(ref, run, known, o.moment())
+	} else {
+		s.lostRuns[ref] = lostRun{run: run, known: known, alone: o.engine.Alone(ref)}
+		o.silentAt[s.entry.Addr] = s
+		o.engine.End(ref, run, sched.Lost, "", o.moment())
+	}
+	o.lead.Metrics.runEnded(cause)
+	crashes, suspect := o.engine.Crashes(ref)
+	o.lead.Log.Emit(event.TaskLost).Str("task", ref.String()).Int64("run", run).Str("worker", s.entry.ID).Bool("crashed", cause == sched.Crashed).
+		Int64("known_ms", known.Milliseconds()).Int("crashes", crashes).Bool("suspect", suspect).Int64("epoch", o.epoch).Send()
+}
+
+// lostRun is a run that was given up because its worker did not answer, for how long the worker had it, and
+// whether it had the worker to itself.
+type lostRun struct {
+	run   int64
+	known time.Duration
+	alone bool
+}
+
+// unknownDuration is the result of knownFor if nothing is known.
+const unknownDuration = -time.Millisecond
+
+// noteFailure records how contact with the worker was lost: by the first call that failed since it answered last.
+func (s *session) noteFailure(err error) {
+	if s.outOfTouch {
+		return
+	}
+	s.outOfTouch, s.disconnected = true, errors.Is(err, orders.ErrDisconnected)
+	if !s.disconnected {
+		return
+	}
+	for ref, run := range s.o.engine.RunsOn(s.entry.ID) {
+		s.o.engine.NoteDisconnect(ref, run, s.knownFor(ref, run))
+	}
+}
+
+// noteAnswer records that the worker has answered.
+func (s *session) noteAnswer(at time.Duration) {
+	s.answeredAt, s.outOfTouch, s.disconnected = at, false, false
+}
+
+// knownFor returns for how long the worker had a run until it ended: 0 if it never confirmed the run. It is
+// unknownDuration for a run that an earlier owner started, and for a worker that was out of touch before it
+// ended, since it may have ended at any time.
+func (s *session) knownFor(ref sched.TaskRef, run int64) time.Duration {
+	c, ok := s.o.confirmedRuns[ref]
+	switch {
+	case !s.disconnected:
+		return unknownDuration
+	case !ok || c.run != run:
+		return 0
+	case c.at < 0:
+		return unknownDuration
+	}
+	return max(0, s.answeredAt-c.at)
+}
+
+// countLostRuns counts the crash of the worker under the runs that were given up before it was known.
+func (s *session) countLostRuns() {
+	for ref, r := range s.lostRuns {
+		s.o.engine.CountCrash(ref, r.run, r.known, r.alone, s.o.moment())
+	}
+	s.forgetLostRuns()
+}
+
+// forgetLostRuns forgets the runs that were given up: the worker is back, or its crash has been counted.
+func (s *session) forgetLostRuns() {
+	if len(s.lostRuns) > 0 {
+		clear(s.lostRuns)
+		delete(s.o.silentAt, s.entry.Addr)
 	}
-	line.Int64("epoch", s.o.epoch).Send()
 }
 
 // crashed reports whether the worker's end was a crash, given that another incarnation has taken its place:
@@ -227,16 +304,18 @@
 		return
 	}
 	now := o.moment()
-	s.answeredAt = now.Steady
 	wasSilent := s.silent
 	if wasSilent {
 		s.setSilent(false, nil)
 	}
 	if s.incarnation != 0 && out.StartedMs != 0 && out.StartedMs != s.incarnation {
+		s.loseRestartedRuns(sent, out)
 		o.lead.Log.Emit(event.WorkerReborn).Str("worker", s.entry.ID).Int64("born", out.StartedMs).Int64("before", s.incarnation).Send()
 		s.seenEnd, s.coveredEnd, s.durableEnd, s.ackedEnd = 0, 0, 0, 0
 		o.engine.ForgetAdvice(s.entry.ID)
 	}
+	s.noteAnswer(now.Steady)
+	s.forgetLostRuns()
 	s.incarnation, s.incarnationConfirmed = out.StartedMs, true
 	s.ackedEnd = max(s.ackedEnd, in.Acked)
 	s.recordClock(out.ClockMs, now.Steady)
@@ -273,6 +352,23 @@
 	}
 }
 
+// loseRestartedRuns records the runs that a worker lost when it restarted under its id, by its first answer since
+// to a hold sent at sent.
+func (s *session) loseRestartedRuns(sent time.Duration, out orders.HoldReply) {
+	if !s.crashed() {
+		return
+	}
+	s.countLostRuns()
+	for ref, run := range s.o.engine.RunsOn(s.entry.ID) {
+		has := slices.ContainsFunc(out.Running, func(r orders.Running) bool { return r.Task == ref && r.Run >= run }) ||
+			slices.ContainsFunc(out.Ended, func(e orders.Ended) bool { return e.Task == ref && e.Run >= run })
+		if c, ok := s.o.confirmedRuns[ref]; !has && ok && c.run == run && c.at < sent {
+			s.loseRun(ref, run, true)
+			s.o.passDue = true
+		}
+	}
+}
+
 // stopRepeatAge is how long after a stop was sent the run may still be listed: longer than the stop takes
 // on any site.
 const stopRepeatAge = 1200 * time.Millisecond
@@ -344,6 +440,7 @@
 func (s *session) handleHoldFailure(err error) {
 	o := s.o
 	s.incarnationConfirmed = false
+	s.noteFailure(err)
 	if errors.Is(err, orders.ErrFenced) {
 		s.o.lead.Log.Emit(event.LeadLost).Int64("epoch", s.o.epoch).Str("reason", "a worker has accepted orders of a later epoch").Send()
 		s.o.cancel()
@@ -353,6 +450,9 @@
 		// Another incarnation answers at the address: the one with the runs is gone.
 		s.leaseUntil = 0
 		s.loseRuns("another incarnation answers at its address", s.crashed())
+		if s.crashed() {
+			s.countLostRuns()
+		}
 	}
 	// While this node's own link or processor is full, a late answer says nothing about the worker.
 	now := o.lead.now()
@@ -501,7 +601,13 @@
 	if known && !s.entry.Leaving && e.Leaving {
 		o.lead.Log.Emit(event.WorkerLeaving).Str("worker", e.ID).Str("reason", "its entry is marked as leaving").Send()
 	}
+	if old := o.silentAt[e.Addr]; !known && old != nil && old != s && old.crashed() {
+		old.countLostRuns() // the worker at the address is a later incarnation
+	}
 	s.entry, s.listed = e, true
+	if s.incarnation == 0 {
+		s.incarnation = e.StartedMs
+	}
 	if !s.clockOK {
 		// The entry was written before this reading, so the estimate of the clock is behind it.
 		s.recordClock(e.ClockMs, now)
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -32,7 +32,7 @@
 // fakeWorker follows the rules of the platform's workers: it checks leases, epochs, room and run numbers,
 // and lists ended runs until they are acknowledged.
 type fakeWorker struct {
-	id            string
+	id, addr      string
 	sim           *simulation
 	room          model.Room
 	born          int64
@@ -44,6 +44,8 @@
 	runTime       syncValue[time.Duration]
 	failRuns      syncValue[bool]
 	leaving       syncValue[bool]
+	crashed       syncValue[bool] // its connections are closed, and nobody listens
+	replaced      syncValue[bool] // another incarnation answers at its address
 	ignoreContext syncValue[bool] // a hold does not end with its context, as a real call may not
 
 	// mu guards all workers of the simulation, since a start reads another worker's runs. It is locked
@@ -73,6 +75,9 @@
 	plan       syncValue[model.Plan]
 	work       map[string]*model.Work
 	rnd        *rand.Rand
+	// onStart is called with workersMu held when a worker has started a task.
+	onStart      syncValue[func(m *fakeWorker, task sched.TaskRef)]
+	replacements int // workers that have taken the place of another
 	// beforePoll is called before a node polls another; its error fails the poll.
 	beforePoll  syncValue[func(ctx context.Context, from, to string) error]
 	nodesByAddr map[string]*testNode // guarded by mu
@@ -117,7 +122,7 @@
 // simulation runs.
 func (sim *simulation) addWorker(id string, born int64, runTime time.Duration) {
 	m := &fakeWorker{
-		id: id, sim: sim, room: model.Room{Millicores: 64000, MemoryMB: 256000, Accelerators: 8}, born: born,
+		id: id, addr: id, sim: sim, room: model.Room{Millicores: 64000, MemoryMB: 256000, Accelerators: 8}, born: born,
 		mu: &sim.workersMu, runs: map[sched.TaskRef]*fakeRun{}, maxEndedRun: map[sched.TaskRef]int64{},
 	}
 	m.runTime.set(runTime)
@@ -210,7 +215,7 @@
 		if !m.dead.get() && !m.unlisted.get() {
 			out = append(out, orders.Entry{
 				Worker: sched.Worker{ID: id, Pool: "p", Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving.get()},
-				Addr:   id, StartedMs: m.born,
+				Addr:   m.addr, StartedMs: m.born,
 			})
 		}
 	}
@@ -228,7 +233,12 @@
 		<-ctx.Done()
 		return orders.ErrOutcomeUnknown
 	}
-	if m.dead.get() {
+	switch {
+	case m.replaced.get():
+		return orders.ErrOtherIncarnation
+	case m.crashed.get():
+		return orders.ErrNotSent
+	case m.dead.get():
 		<-ctx.Done()
 		return orders.ErrOutcomeUnknown
 	}
@@ -261,7 +271,7 @@
 
 // extend extends the lease up to a deadline on the worker's clock, at most by maxLease.
 func (m *fakeWorker) extend(deadlineMs int64) {
-	d := time.Duration(deadlineMs-1000) * time.Millisecond
+	d := time.Duration(deadlineMs-1000)*time.Millisecond - m.clockOffset
 	m.leaseEnd = max(m.leaseEnd, min(d, m.sim.now()+maxLease))
 }
 
@@ -289,6 +299,9 @@
 		}
 		dead, dropAnswers := m.dead.get(), m.dropAnswers.get()
 		m.mu.Unlock()
+		if m.crashed.get() {
+			return orders.HoldReply{}, errClosed
+		}
 		if dead || dropAnswers {
 			<-ctx.Done()
 			return orders.HoldReply{}, orders.ErrOutcomeUnknown
@@ -379,9 +392,44 @@
 	m.extend(in.DeadlineMs)
 	m.runs[in.Task] = &fakeRun{task: in.Task, run: in.Run, began: m.sim.now(), duration: m.runTime.get()}
 	m.sim.checkStart(in.Task, m.id)
+	if onStart := m.sim.onStart.get(); onStart != nil {
+		onStart(m, in.Task)
+	}
 	return m.clock(), nil
 }
 
+// errClosed is the error of an order during which the worker crashes.
+var errClosed = fmt.Errorf("%w: %w", orders.ErrOutcomeUnknown, orders.ErrDisconnected)
+
+// crash ends the worker with its runs and closes its connections.
+func (m *fakeWorker) crash() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.crashed.set(true)
+	m.dead.set(true)
+	m.runs, m.ended, m.lastEnd = map[sched.TaskRef]*fakeRun{}, nil, 0
+	m.epoch, m.leaseEnd, m.maxEndedRun = 0, 0, map[sched.TaskRef]int64{}
+}
+
+// restart starts a crashed worker again, under its id or under another one at the same address.
+func (m *fakeWorker) restart(sameID bool) {
+	if !sameID {
+		m.replaced.set(true)
+		m.sim.mu.Lock()
+		defer m.sim.mu.Unlock()
+		m.sim.replacements++
+		id := fmt.Sprintf("%s-%d", m.id, m.sim.replacements)
+		m.sim.addWorker(id, m.sim.now().Milliseconds(), m.runTime.get())
+		m.sim.workers[id].addr = m.addr
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.born, m.clockOffset = m.sim.now().Milliseconds(), -m.sim.now()
+	m.dead.set(false)
+	m.crashed.set(false)
+}
+
 func (m *fakeWorker) stop(task sched.TaskRef, run, epoch int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -123,7 +123,7 @@
 		return
 	}
 	s.recordClock(clockMs, at)
-	s.answeredAt = at
+	s.noteAnswer(at)
 	o.confirmedRuns[in.Task] = startOutcome{run: in.Run, at: at}
 	if run, worker, placed := o.engine.CurrentRun(in.Task); placed && run == in.Run && worker == s.entry.ID {
 		if j := o.engine.Job(in.Task.Job); j != nil && !j.Started {
@@ -155,6 +155,7 @@
 		// The next hold tells whether the worker has the run. If it has not, the run is stopped, so that it
 		// can't begin later.
 		s.incarnationConfirmed = false
+		s.noteFailure(err)
 		s.unconfirmedStarts[in.Task] = startOutcome{run: in.Run, at: at}
 		s.sendHold(0)
 	}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -27,6 +27,9 @@
 	ErrInvalid = errors.New("worker refused the order as invalid")
 	// ErrNotSent means that the order did not reach the worker.
 	ErrNotSent = errors.New("order did not reach the worker")
+	// ErrDisconnected means that the worker closed the connection instead of answering. It comes with
+	// ErrOutcomeUnknown.
+	ErrDisconnected = errors.New("worker closed the connection")
 	// ErrOutcomeUnknown means that the order may have been carried out, or still may.
 	ErrOutcomeUnknown = errors.New("worker gave no answer")
 )
--- a/internal/sched/claims.go
+++ b/internal/sched/claims.go
@@ -24,7 +24,7 @@
 	var usable []*worker
 	fits, limit, healthyOnly := 0, e.maxPerWorker(g), g.needsHealthyWorkers()
 	for _, w := range e.sortedWorkers {
-		if w.Pool == g.queue.Pool && g.eligible(w, healthyOnly, now) && !(g.queue.Advice != nil && g.batch.advice.denied(w.ID)) {
+		if w.Pool == g.queue.Pool && g.eligible(w, healthyOnly, now) && (g.queue.Advice == nil || !g.batch.advice.denied(w.ID)) {
 			usable = append(usable, w)
 			fits += w.Room.Times(g.step.Need(), limit)
 		}
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -29,8 +29,10 @@
 	changedJobs map[string]bool
 	// reservations holds the batches for which capacity is reserved while runs that were preempted for
 	// them are stopping.
-	reservations   map[*Batch]TaskRef
-	guaranteedJobs map[*Job]bool // urgent jobs within their guarantees, as of the last pass
+	reservations map[*Batch]TaskRef
+	// isolatedWorkers holds the workers that are kept for one job.
+	isolatedWorkers map[*worker]bool
+	guaranteedJobs  map[*Job]bool // urgent jobs within their guarantees, as of the last pass
 	// urgentAccelerators is the number of accelerators that each workspace's guaranteed jobs need, as
 	// of the last pass.
 	urgentAccelerators map[string]int
@@ -198,6 +200,7 @@
 		e.End(ref, t.Run, Lost, "", now)
 	}
 	delete(e.workers, id)
+	delete(e.isolatedWorkers, w)
 	e.racks = nil
 	e.sortedWorkers = slices.DeleteFunc(e.sortedWorkers, func(x *worker) bool { return x == w })
 }
@@ -285,6 +288,9 @@
 	}
 	w.tasks[ref] = t
 	w.used = w.used.Plus(s.Need(), 1)
+	if t.suspect {
+		e.isolate(w, ref.Job, t)
+	}
 }
 
 // Job returns a job by its id, or nil.
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -18,6 +18,8 @@
 	waiting []int // indexes of the tasks to place
 	// onDraining is set while the group may use workers that are being drained.
 	onDraining bool
+	// isolated is set for suspects, which may only use workers on which nothing but their job runs.
+	isolated bool
 	// guaranteed is set for urgent work within its workspace's guarantee.
 	guaranteed bool
 	lateness   lateness
@@ -106,7 +108,7 @@
 			waiting: waiting, guaranteed: guaranteed,
 		}
 		g.lateness, g.timeLeft = j.lateness(k, q, now)
-		out = append(out, g)
+		out = append(out, e.splitSuspects(g, now)...)
 	}
 	return out
 }
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -26,6 +26,7 @@
 	e.startReserved(now)
 	e.refreshRacks(now)
 	e.clearClaims()
+	e.openUnneeded()
 	clear(e.utilizations)
 	unplaceable := map[shape]bool{}
 	e.startsLeft = budget
@@ -46,6 +47,10 @@
 			e.claimRoom(g, now)
 			continue
 		}
+		if g.isolated && !e.mayIsolate(g) {
+			e.noteWait(g, ForIsolation, now)
+			continue
+		}
 		key := g.shape()
 		if unplaceable[key] {
 			e.noteWait(g, ForRoom, now)
@@ -56,14 +61,25 @@
 		}
 		if !e.place(g, now) {
 			unplaceable[key] = true
-			e.noteWait(g, ForRoom, now)
-			e.claimRoom(g, now)
-			e.askAdviser(g, now)
+			e.recordUnplaced(g, now)
 		}
 	}
 	return e.startsLeft <= 0
 }
 
+// recordUnplaced records that the group found no room: it claims the workers that it could use, or has some
+// vacated, and asks the adviser about others.
+func (e *Engine) recordUnplaced(g *group, now Moment) {
+	if g.isolated {
+		e.noteWait(g, ForIsolation, now)
+		e.vacate(g)
+	} else {
+		e.noteWait(g, ForRoom, now)
+		e.claimRoom(g, now)
+	}
+	e.askAdviser(g, now)
+}
+
 // utilization returns the largest of the fractions of a pool's accelerators, cores and memory that placed
 // tasks use. Within a pass it is summed again only after a start.
 func (e *Engine) utilization(pool string) float64 {
@@ -138,6 +154,7 @@
 	tasks, perWorker    int
 	oneRack, guaranteed bool
 	healthyOnly, yields bool
+	isolated            bool
 	priority            int
 	// batch is set for a group that may fail where others of its shape would not: one with a limit per
 	// worker, workers to avoid, or an adviser.
@@ -157,7 +174,7 @@
 	return shape{
 		batch: batch, pool: g.queue.Pool, label: g.step.Label, rack: g.step.DataRack, need: g.step.Need(), tasks: n,
 		perWorker: g.step.PerWorker, oneRack: g.step.OneRack, guaranteed: g.guaranteed, healthyOnly: g.needsHealthyWorkers(),
-		yields: g.yields, priority: g.queue.Priority,
+		yields: g.yields, isolated: g.isolated, priority: g.queue.Priority,
 	}
 }
 
@@ -399,6 +416,9 @@
 	if !mayStart || w.Room.Times(g.step.Need(), 1) == 0 {
 		return false
 	}
+	if !g.sharesWith(w) {
+		return false
+	}
 	if g.yields && w.claimed && w.claimRank < g.rank() {
 		return false
 	}
@@ -482,7 +502,7 @@
 		run = e.lastRun
 		g.batch.run, g.batch.startedAt = run, now.Steady
 	}
-	g.batch.incomplete, g.batch.waitReason = false, ""
+	g.batch.incomplete, g.batch.waitReason, g.batch.suspectsWaitFrom = false, "", 0
 	delete(e.utilizations, g.queue.Pool)
 	e.startsLeft -= len(g.waiting)
 	for pos, i := range g.waiting {
@@ -496,6 +516,9 @@
 		t.Phase, t.Run, t.Worker = Placed, run, placement[pos].ID
 		t.Confirmed, t.Stopping, t.percent = false, false, 0
 		t.placedAt, t.progressAt = now.Steady, now.Steady
+		if g.isolated {
+			e.isolate(placement[pos], g.ref.Job, t)
+		}
 		placement[pos].tasks[ref] = t
 		placement[pos].allocate(g.step.Need())
 		checkpoint := t.Checkpoint
--- a/internal/sched/record.go
+++ b/internal/sched/record.go
@@ -15,6 +15,7 @@
 type Record struct {
 	Final   State           `json:"final,omitempty"`
 	EndedMs int64           `json:"ended_ms,omitempty"`
+	Reason  string          `json:"reason,omitempty"`
 	Started bool            `json:"begun,omitempty"`
 	Batches [][]batchRecord `json:"batches,omitempty"`
 }
@@ -36,12 +37,20 @@
 	Failures   int    `json:"f,omitempty"`
 	Checkpoint string `json:"s,omitempty"`
 	FailedOn   string `json:"b,omitempty"`
+	Crashes    int    `json:"c,omitempty"`
+	// StartCrashes counts the crashes of workers as the task started, CrashedRun is the run of the last one.
+	StartCrashes int   `json:"sc,omitempty"`
+	CrashedRun   int64 `json:"cr,omitempty"`
+	// Disconnected is the run right after whose start the worker closed its connections.
+	Disconnected int64 `json:"d,omitempty"`
+	// Suspect is set while the task must run on workers of its own.
+	Suspect bool `json:"x,omitempty"`
 }
 
 // Record returns what must be stored of the job. For an ended job without placed tasks that is only its
 // final state, the time of its end and whether it started.
 func (j *Job) Record() Record {
-	r := Record{Final: j.Final, EndedMs: j.EndedMs, Started: j.Started}
+	r := Record{Final: j.Final, EndedMs: j.EndedMs, Reason: j.Reason, Started: j.Started}
 	if !j.Open() && !j.hasPlacedTask() {
 		return r
 	}
@@ -75,7 +84,10 @@
 	r := batchRecord{Checkpoint: b.Checkpoint, Failures: b.Failures, LastFailedRun: b.lastFailedRun, Tasks: make([]taskRecord, len(b.Tasks))}
 	for i := range b.Tasks {
 		t := &b.Tasks[i]
-		r.Tasks[i] = taskRecord{Phase: t.Phase, Run: t.Run, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint, FailedOn: t.failedOn}
+		r.Tasks[i] = taskRecord{
+			Phase: t.Phase, Run: t.Run, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint, FailedOn: t.failedOn,
+			Crashes: t.Crashes, StartCrashes: t.StartCrashes, CrashedRun: t.crashedRun, Disconnected: t.disconnectedRun, Suspect: t.suspect,
+		}
 		if t.Phase != Placed {
 			r.Tasks[i].Worker = ""
 		}
@@ -153,7 +165,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("record of job %s: %w", w.ID, err)
 	}
-	j.Final, j.EndedMs, j.Started = r.Final, r.EndedMs, r.Started
+	j.Final, j.EndedMs, j.Reason, j.Started = r.Final, r.EndedMs, r.Reason, r.Started
 	for k := range min(len(r.Batches), len(j.Batches)) {
 		for s := range min(len(r.Batches[k]), len(j.Batches[k])) {
 			j.Batches[k][s].restore(r.Batches[k][s])
@@ -166,6 +178,9 @@
 	b.Checkpoint, b.Failures, b.lastFailedRun = r.Checkpoint, r.Failures, r.LastFailedRun
 	for i := range min(len(r.Tasks), len(b.Tasks)) {
 		t := r.Tasks[i]
-		b.Tasks[i] = Task{Phase: t.Phase, Run: t.Run, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint, failedOn: t.FailedOn}
+		b.Tasks[i] = Task{
+			Phase: t.Phase, Run: t.Run, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint, failedOn: t.FailedOn,
+			Crashes: t.Crashes, StartCrashes: t.StartCrashes, crashedRun: t.CrashedRun, disconnectedRun: t.Disconnected, suspect: t.Suspect,
+		}
 	}
 }
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -14,6 +14,14 @@
 	if !t.Confirmed || percent != t.percent {
 		t.progressAt = now.Steady
 	}
+	if !t.Confirmed {
+		t.confirmedAt = now.Steady
+	}
+	if t.disconnectedRun == run {
+		t.disconnectedRun = 0
+		e.changedJobs[ref.Job] = true
+	}
+	e.clearSuspect(t, now)
 	t.Confirmed, t.percent = true, percent
 	if !j.Started {
 		j.Started = true
@@ -105,6 +113,7 @@
 		delete(w.tasks, ref)
 		w.used = w.used.Minus(step.Need(), 1)
 	}
+	e.endIsolation(t)
 	t.Phase, t.Confirmed, t.Stopping, t.percent = Waiting, false, false, 0
 }
 
@@ -183,7 +192,7 @@
 		w.successes++
 	case Failed:
 		e.recordFailure(w, job, now)
-	case Stopped, LeaseExpired, GangStopped, GangTimeout, Lost, Refused:
+	case Stopped, LeaseExpired, GangStopped, GangTimeout, Lost, Refused, Crashed:
 	}
 }
 
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -43,7 +43,8 @@
 // The causes of the end of a run. Failed is the fault of the task or its worker. LeaseExpired means that the
 // lease of the run has expired, GangStopped that another member of the gang ended, and GangTimeout that the
 // other members of the gang did not start in time. Lost means that the worker does not have the run or can
-// no longer have it, Refused that the worker refused the start, which had no effect.
+// no longer have it, Refused that the worker refused the start, which had no effect. Crashed means that the run
+// was lost when its worker crashed.
 const (
 	Done         Cause = "done"
 	Failed       Cause = "failed"
@@ -53,6 +54,7 @@
 	GangTimeout  Cause = "alone"
 	Lost         Cause = "lost"
 	Refused      Cause = "refused"
+	Crashed      Cause = "crashed"
 )
 
 // Task is the state of a task and, while it is Placed, of its present run.
@@ -64,6 +66,13 @@
 	Failures int
 	// Checkpoint is the newest known checkpoint. For a gang it is also kept in the Batch.
 	Checkpoint string
+	// Crashes counts the workers that crashed under the task, the last time under crashedRun, and StartCrashes
+	// those that did so as it started. suspect is set while the task must run on workers of its own.
+	Crashes, StartCrashes int
+	crashedRun            int64
+	// disconnectedRun is the run right after whose start the worker closed its connections; 0 once it answers.
+	disconnectedRun int64
+	suspect         bool
 
 	// Confirmed is set once the worker has reported that it has the run.
 	Confirmed bool
@@ -71,6 +80,11 @@
 	Stopping    bool
 	percent     int
 	placedAt    time.Duration
+	confirmedAt time.Duration // when the run was confirmed
+	// isolated is set for a run that has its worker to itself. survived is the longest time for which a
+	// worker had a run of the task before it crashed.
+	isolated    bool
+	survived    time.Duration
 	progressAt  time.Duration // when percent last changed or the run was confirmed
 	failedOn    string        // worker of the last failed run
 	avoidWorker string        // worker that would refuse the gang's present run
@@ -100,6 +114,8 @@
 	reservedAt time.Duration
 	readyAt    time.Duration
 	ready      bool
+	// suspectsWaitFrom is since when suspects among the tasks wait; 0 if none do.
+	suspectsWaitFrom time.Duration
 	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
 	waitReason     WaitReason
 	waitReportedAt time.Duration
@@ -128,6 +144,8 @@
 	Started bool
 	// EndedMs is when the job ended, in Unix ms.
 	EndedMs int64
+	// Reason is why the job failed, if that was not for its attempts.
+	Reason string
 }
 
 // Open reports whether the job has not ended.
@@ -193,6 +211,10 @@
 	// kept for guarantees; claimRank is the lowest rank of such a group.
 	claimed   bool
 	claimRank int
+	// keptFor is the only job that may use the worker, if it is set, and isolatedRuns the number of its
+	// isolated runs there.
+	keptFor      string
+	isolatedRuns int
 }
 
 // free returns the capacity that is neither used nor reserved. It is negative where a reservation waits
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -6,12 +6,14 @@
 type WaitReason string
 
 // The reasons for which tasks wait. ForRoom means that no worker has the room, nor can preemption free it;
-// ForHeadroom that the free room is kept for guarantees; TooLate that the result is no longer of use and
+// ForHeadroom that the free room is kept for guarantees; ForIsolation that a suspect awaits a worker on which
+// nothing else runs; TooLate that the result is no longer of use and
 // other work needs the room.
 const (
-	ForRoom     WaitReason = "no room"
-	ForHeadroom WaitReason = "room is kept for guarantees"
-	TooLate     WaitReason = "too late to be of use"
+	ForRoom      WaitReason = "no room"
+	ForHeadroom  WaitReason = "room is kept for guarantees"
+	ForIsolation WaitReason = "no worker of its own after a crash"
+	TooLate      WaitReason = "too late to be of use"
 )
 
 // waitReportInterval is the least time between two reports about one step, so that a step whose reason
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -111,7 +111,7 @@
 	"task-stopped":   "task {task} run {run} is stopped on {worker}: {reason}",
 	"work-waiting":   "step {step} waits with {waiting} tasks after {for_ms} ms: {reason}",
 	"task-vanished":  "task {task} run {run} is no longer known to {worker}",
-	"task-lost":      "task {task} run {run} is lost with {worker}, which had it for {known_ms} ms (crashed: {crashed})",
+	"task-lost":      "task {task} run {run} is lost with {worker}, which had it for {known_ms} ms (crashed: {crashed}, crashes so far: {crashes})",
 	"task-stray":     "task {task} run {run} runs on {worker} and should not",
 	"start-failed":   "start of task {task} run {run} on {worker} failed: {error}",
 	"advised":        "the adviser allows {allowed} of {asked} workers for step {step} after {took_ms} ms {error}",
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -18,6 +19,8 @@
 	ErrNotSent = errors.New("request not sent")
 	// ErrNoAnswer means that no usable answer came; the request may have taken effect.
 	ErrNoAnswer = errors.New("no answer")
+	// ErrClosed means that no answer came because the peer closed the connection. It comes with ErrNoAnswer.
+	ErrClosed = errors.New("connection closed by peer")
 )
 
 // StatusError is an answer of the peer with a status other than 2xx.
@@ -190,9 +193,16 @@
 	if notSent(err) {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if closedByPeer(err) {
+		return fmt.Errorf("%w: %w: %w", ErrNoAnswer, ErrClosed, err)
+	}
 	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 }
 
+func closedByPeer(err error) bool {
+	return errors.Is(err, fasthttp.ErrConnectionClosed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 func notSent(err error) bool {
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return true
