Test that starts keep to a room that shrinks

Change: the fake worker may not guard its room, and reports a start that exceeds a room that has shrunk longer ago than the users' rules allow.

--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -32,9 +32,12 @@
 // fakeWorker follows the rules of the platform's workers: it checks leases, epochs, room and run numbers,
 // and lists ended runs until they are acknowledged.
 type fakeWorker struct {
-	id, addr      string
-	sim           *simulation
-	room          model.Room
+	id, addr string
+	sim      *simulation
+	room     model.Room
+	// unguarded is set for a worker that starts what does not fit; roomAt is when its room changed.
+	unguarded     bool
+	roomAt        time.Duration
 	born          int64
 	dead          syncValue[bool]
 	unlisted      syncValue[bool]
@@ -387,7 +390,12 @@
 		used = used.Plus(m.sim.stepOf(ref).Each, 1)
 	}
 	if m.room.Minus(used, 1).Times(step.Each, 1) < 1 {
-		return m.clock(), orders.ErrNoRoom
+		if !m.unguarded {
+			return m.clock(), orders.ErrNoRoom
+		}
+		if m.sim.now()-m.roomAt > roomGrace {
+			m.sim.addViolation("%s brings %s over its room", in.Task, m.id)
+		}
 	}
 	m.extend(in.DeadlineMs)
 	m.runs[in.Task] = &fakeRun{task: in.Task, run: in.Run, began: m.sim.now(), duration: m.runTime.get()}
