--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -551,6 +551,7 @@
 		return
 	}
 	o.nextPurgeAt = now.Steady + purgeInterval
+	o.dropOldLostRuns()
 	old := lo.Reject(o.engine.OldEnded(now.UnixMs-(2*o.lead.Bounds.EndedRetention).Milliseconds()),
 		func(id string, _ int) bool { return o.dirtyJobs[id] })
 	if len(old) == 0 {
