Reword what a first reader of claims and isolation misread

Cause: ranks are placed in rising order, so a lower rank is the earlier one; two comments read the other way round.

Conclusion: no change of behaviour.

--- a/internal/sched/claims.go
+++ b/internal/sched/claims.go
@@ -13,7 +13,7 @@
 }
 
 // claimRoom claims the workers that the group could use for the rest of the pass, because the group must
-// wait. Groups of a lower rank that yield are not placed there: a gang needs room on several workers at the
+// wait. Groups that rank after it and yield are not placed there: a gang needs room on several workers at the
 // same time, and smaller tasks would take each part of it as it becomes free. A group that is too late to be
 // of use claims nothing, and neither does one that could not be placed if nothing else ran.
 func (e *Engine) claimRoom(g *group, now Moment) {
--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -27,9 +27,9 @@
 	// long as the pool is well used.
 	maxIsolatedFraction = 0.25
 	// isolationWait bounds the wait of a suspect for a worker of its own. After it the suspect starts
-	// beside other work; long-running work waits for maxLastsIsolationWait only, since it must be running.
-	isolationWait         = 4 * time.Second
-	maxLastsIsolationWait = time.Second
+	// beside other work; long-running work waits for lastsIsolationWait only, since it must be running.
+	isolationWait      = 4 * time.Second
+	lastsIsolationWait = time.Second
 )
 
 // EndCrashed records that a run was lost when its worker crashed, and reports whether it was the task's present
@@ -186,7 +186,7 @@
 	}
 	wait := isolationWait
 	if g.step.Lasts {
-		wait = maxLastsIsolationWait
+		wait = lastsIsolationWait
 	}
 	if now.Steady-b.suspectsWaitFrom > wait {
 		return []*group{g}
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -40,7 +40,7 @@
 	// both as of the present pass.
 	utilizations map[string]float64
 	claims       map[shape]bool
-	// poolClaims has the lowest rank at which all workers of a pool are claimed in the present pass.
+	// poolClaims has the rank of the first group for which all workers of a pool are claimed, by pool, in the present pass.
 	poolClaims map[string]int
 	// lastUrgentAt is when a pass last saw an urgent job that had not ended.
 	lastUrgentAt time.Duration
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -208,7 +208,7 @@
 	lastSuccess    time.Duration
 	successes      int
 	// claimed is set in a pass once a group that could use the worker waits for room, or for room that is
-	// kept for guarantees; claimRank is the lowest rank of such a group.
+	// kept for guarantees; claimRank is the rank of the first such group.
 	claimed   bool
 	claimRank int
 	// keptFor is the only job that may use the worker, if it is set, and isolatedRuns the number of its
