--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the cases start. Needs only Go.
+set -eu
+cd "$(dirname "$0")/stand"
+go build -o ../../target/review-stand .
