--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -31,11 +31,18 @@
 	maxPort = 31999
 )
 
-// listen returns a listener on a free loopback port.
+// givenPorts has the ports that listen has given out. A node may not listen yet on one that it was given.
+var givenPorts = map[int]bool{}
+
+// listen returns a listener on a free loopback port, each time another one.
 func listen() net.Listener {
 	for range 1000 {
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort+1)))
-		if err == nil {
+		port := minPort + rand.IntN(maxPort-minPort+1)
+		if givenPorts[port] {
+			continue
+		}
+		givenPorts[port] = true
+		if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			return l
 		}
 	}
@@ -193,6 +200,7 @@
 	After         []int  `json:"after,omitempty"`
 	SavesProgress bool   `json:"savesProgress,omitempty"`
 	RequiredLabel string `json:"requiredLabel,omitempty"`
+	LongRunning   bool   `json:"longRunning,omitempty"`
 }
 
 type job struct {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -94,9 +94,8 @@
 	// highest is the highest run that has been stopped or has ended here, by work unit.
 	highest map[string]int64
 	state   string
-	// hook, if set, is called after an order was carried out, without the lock; a positive result delays
-	// the answer, a negative one suppresses it.
-	hook func(path, task string) time.Duration
+	// roundTrip is the time that an order and its answer are in transit.
+	roundTrip time.Duration
 }
 
 func newWorker(st *store, id, rack string, capacity room) *worker {
@@ -259,6 +258,7 @@
 			answer(rw, http.StatusMisdirectedRequest, map[string]any{})
 			return
 		}
+		time.Sleep(w.roundTrip)
 		w.mu.Lock()
 		w.advance()
 		born := w.born
@@ -272,19 +272,10 @@
 		}
 		body["clockMs"], body["born"] = w.clockMs(), w.born.UnixMilli()
 		gone := !w.up || w.born != born
-		hook := w.hook
 		w.mu.Unlock()
 		if gone {
 			panic(http.ErrAbortHandler)
 		}
-		if hook != nil {
-			delay := hook(r.URL.Path, in.Task)
-			if delay < 0 {
-				<-r.Context().Done()
-				return
-			}
-			time.Sleep(delay)
-		}
 		answer(rw, status, body)
 	}
 }
