--- a/review/stand/manyends.go
+++ b/review/stand/manyends.go
@@ -24,14 +24,22 @@
 	if !awaitTrue(setupLimit, func() bool { return len(runsOf(id)) >= units }) {
 		return nil, fmt.Errorf("%w: only %d work units have started", errSetup, len(runsOf(id)))
 	}
-	first := runsOf(id)[0].began
+	first, last := runsOf(id)[0].began, runsOf(id)[0].began
 	for _, r := range runsOf(id) {
 		if r.began.Before(first) {
 			first = r.began
 		}
+		if r.began.After(last) {
+			last = r.began
+		}
+	}
+	// No end is listed before the kill, and all work units have ended when the next owner asks.
+	killAt := first.Add(takes - 300*time.Millisecond)
+	if later := last.Add(takes - 700*time.Millisecond); later.After(killAt) {
+		killAt = later
 	}
 	if e.trouble {
-		time.Sleep(time.Until(first.Add(takes - 300*time.Millisecond)))
+		time.Sleep(time.Until(killAt))
 		n := e.ownerNode()
 		n.kill()
 		time.Sleep(2 * time.Second)
