--- a/review/stand/reborn.go
+++ b/review/stand/reborn.go
@@ -37,9 +37,12 @@
 			w = x
 		}
 	}
-	time.Sleep(time.Until(first.began.Add(secondTakes - 5*time.Millisecond)))
 	if e.trouble {
-		e.st.setSilent(true)
+		time.Sleep(time.Until(first.began.Add(secondTakes - 100*time.Millisecond)))
+		e.st.setSilentFrom(second)
+		if !awaitTrue(setupLimit, e.st.isSilent) {
+			return nil, fmt.Errorf("%w: no transaction covers the ends of the second job", errSetup)
+		}
 		time.Sleep(300 * time.Millisecond)
 		w.crash()
 		time.Sleep(500 * time.Millisecond)
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -38,6 +38,8 @@
 	parts   map[string]*sync.Mutex
 	// silent makes the store leave every call unanswered and undone.
 	silent bool
+	// silentFrom, if set, is the key of a row; the outage begins with the first transaction that writes it.
+	silentFrom string
 	// lead is the owner's name and address by the row of the election.
 	lead  leadRow
 	began time.Time
@@ -78,11 +80,23 @@
 	note("store", "silent=%v", on)
 }
 
+// setSilentFrom lets an outage begin with the first transaction that writes a row with this key.
+func (s *store) setSilentFrom(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentFrom = key
+}
+
+// isSilent reports whether the store is silent.
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 // away reports whether the store is silent; it then holds the call until its caller gives up.
 func (s *store) away(r *http.Request) bool {
-	s.mu.Lock()
-	on := s.silent
-	s.mu.Unlock()
+	on := s.isSilent()
 	if on {
 		<-r.Context().Done()
 	}
@@ -163,6 +177,15 @@
 		answer(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
 		return
 	}
+	for _, p := range in.Put {
+		s.mu.Lock()
+		begins := s.silentFrom != "" && p.Key == s.silentFrom
+		s.mu.Unlock()
+		if begins {
+			s.setSilentFrom("")
+			s.setSilent(true)
+		}
+	}
 	if s.away(r) {
 		return
 	}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -164,10 +164,7 @@
 		"labels": []string{w.kind, w.rack},
 	}
 	w.mu.Unlock()
-	w.st.mu.Lock()
-	away := w.st.silent
-	w.st.mu.Unlock()
-	if !away {
+	if !w.st.isSilent() {
 		w.st.put("servers", w.id, e)
 	}
 }
