--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -192,15 +192,13 @@
 
 // phase is a step of a job as clients send it, with the duration of its work units.
 type phase struct {
-	Count         int    `json:"count"`
-	CPU           int    `json:"cpu"`
-	MemMb         int    `json:"memMb,omitempty"`
-	GPU           int    `json:"gpu,omitempty"`
-	EstimateMs    int64  `json:"estimateMs"`
-	After         []int  `json:"after,omitempty"`
-	SavesProgress bool   `json:"savesProgress,omitempty"`
-	RequiredLabel string `json:"requiredLabel,omitempty"`
-	LongRunning   bool   `json:"longRunning,omitempty"`
+	Count         int   `json:"count"`
+	CPU           int   `json:"cpu"`
+	MemMb         int   `json:"memMb,omitempty"`
+	GPU           int   `json:"gpu,omitempty"`
+	EstimateMs    int64 `json:"estimateMs"`
+	After         []int `json:"after,omitempty"`
+	SavesProgress bool  `json:"savesProgress,omitempty"`
 }
 
 type job struct {
@@ -244,6 +242,11 @@
 	for i, p := range j.Phases {
 		kinds.Store(fmt.Sprintf("%s.%d", id, i), taskKind{need: room{p.CPU, p.MemMb, p.GPU}, takes: takes[i], saves: p.SavesProgress})
 	}
+	return handIn(nodes, prefix, id, j)
+}
+
+// handIn hands in a job whose work units are known in kinds.
+func handIn(nodes []*edge, prefix, id string, j job) bool {
 	for try := range 5 {
 		if status, _ := request(nodes[try%len(nodes)], http.MethodPost, prefix+id, j); status == http.StatusOK {
 			return true
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -37,6 +37,8 @@
 	need  room
 	takes time.Duration
 	saves bool
+	// deadly lets the work unit crash its worker as it starts, before the start is answered.
+	deadly bool
 }
 
 // kinds has the kind of each step, by JOB.STEP. It stands for what a real work unit would need and take.
@@ -141,6 +143,18 @@
 	_ = srv.Close()
 }
 
+// downTime is how long a worker is down that a work unit has crashed.
+const downTime = 2 * time.Second
+
+// crashAndReturn crashes the worker and starts it again under its id.
+func (w *worker) crashAndReturn() {
+	w.crash()
+	time.Sleep(downTime)
+	for w.restart() != nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // restart begins a new incarnation under the same id at the same address.
 func (w *worker) restart() error {
 	l, err := net.Listen("tcp4", w.addr)
@@ -321,6 +335,10 @@
 	}
 	r.history = recordStart(w.id, in.Task, in.Run, in.Fence, r.began)
 	w.running[in.Task] = r
+	if k.deadly {
+		w.up = false
+		go w.crashAndReturn()
+	}
 	return http.StatusOK, map[string]any{}
 }
 
