--- a/review/stand/feed.go
+++ b/review/stand/feed.go
@@ -36,7 +36,7 @@
 	time.Sleep(1200 * time.Millisecond)
 	silencedAt := time.Now()
 	if e.trouble {
-		note("proxy", "%d channels that were idle for %s are silent from now on", e.st.conns.silenceIdle(idle, ""), idle)
+		note("proxy", "%d channels that were idle for %s are silent from now on", e.st.conns.silenceIdle(idle), idle)
 	}
 	// Another client's job comes first; its node then has a new channel to the store.
 	n := e.otherNodes()[0]
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -40,7 +39,7 @@
 	silent bool
 	// silentFrom, if set, is the key of a row; the outage begins with the first transaction that writes it.
 	silentFrom string
-	// lead is the owner's name and address by the row of the election.
+	// lead names the owner by the row of the election.
 	lead  leadRow
 	began time.Time
 }
@@ -48,7 +47,6 @@
 // leadRow is what the stand-in reads of the program's own election row, to choose the process to disturb.
 type leadRow struct {
 	Owner string `json:"owner"`
-	Epoch int64  `json:"epoch"`
 }
 
 const (
@@ -116,15 +114,6 @@
 	s.changed.Broadcast()
 }
 
-// remove removes a row as the platform does.
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ver++
-	s.apply(storedRow{Table: table, Key: key, Ver: s.ver, Tombstone: true})
-	s.changed.Broadcast()
-}
-
 func (s *store) apply(r storedRow) {
 	k := rowKey{r.Table, r.Part, r.Key}
 	if r.Tombstone {
@@ -145,13 +134,6 @@
 	return s.lead.Owner
 }
 
-// epoch returns the generation number of the election row.
-func (s *store) epoch() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lead.Epoch
-}
-
 func answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -354,15 +336,14 @@
 	return tc, nil
 }
 
-// silenceIdle makes the connections silent on which nothing was sent for the time idle and whose last request
-// line contains match.
-func (t *connTracker) silenceIdle(idle time.Duration, match string) int {
+// silenceIdle makes the connections silent on which nothing was sent for the time idle, and returns their number.
+func (t *connTracker) silenceIdle(idle time.Duration) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for c := range t.open {
 		c.mu.Lock()
-		if time.Since(c.usedAt) >= idle && strings.Contains(c.lastLine, match) {
+		if time.Since(c.usedAt) >= idle {
 			c.dead = true
 			n++
 		}
@@ -374,21 +355,18 @@
 // trackedConn is a connection that may be made silent: what is sent on it is lost, and it is not closed.
 type trackedConn struct {
 	net.Conn
-	owner    *connTracker
-	mu       sync.Mutex
-	usedAt   time.Time
-	lastLine string
-	dead     bool
+	owner *connTracker
+
+	mu     sync.Mutex
+	usedAt time.Time
+	dead   bool
 }
 
-func (c *trackedConn) use(b []byte, isRequest bool) (dead bool) {
+// use records that the connection is used, and reports whether it is silent.
+func (c *trackedConn) use() (dead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.usedAt = time.Now()
-	if isRequest {
-		line, _, _ := strings.Cut(string(b), "\r\n")
-		c.lastLine = line
-	}
 	return c.dead
 }
 
@@ -396,7 +374,7 @@
 func (c *trackedConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if err != nil || !c.use(b[:n], n > 4 && (string(b[:4]) == "GET " || string(b[:4]) == "POST")) {
+		if err != nil || !c.use() {
 			return n, err
 		}
 	}
@@ -404,7 +382,7 @@
 
 // Write sends b, or loses it if the connection is silent.
 func (c *trackedConn) Write(b []byte) (int, error) {
-	if c.use(nil, false) {
+	if c.use() {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -258,7 +258,7 @@
 }
 
 // handle wraps an order: it checks the incarnation and the generation number.
-func (w *worker) handle(order func(in orderRequest, sender string) (int, map[string]any)) http.HandlerFunc {
+func (w *worker) handle(order func(in orderRequest) (int, map[string]any)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var in orderRequest
 		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
@@ -279,7 +279,7 @@
 			status, body["reason"] = http.StatusConflict, "fence"
 		} else {
 			w.fence = in.Fence
-			status, body = order(in, r.RemoteAddr)
+			status, body = order(in)
 		}
 		body["clockMs"], body["born"] = w.clockMs(), w.born.UnixMilli()
 		gone := !w.up || w.born != born
@@ -305,7 +305,7 @@
 	}
 }
 
-func (w *worker) start(in orderRequest, _ string) (int, map[string]any) {
+func (w *worker) start(in orderRequest) (int, map[string]any) {
 	conflict := func(reason string) (int, map[string]any) {
 		return http.StatusConflict, map[string]any{"reason": reason}
 	}
@@ -342,7 +342,7 @@
 	return http.StatusOK, map[string]any{}
 }
 
-func (w *worker) stop(in orderRequest, _ string) (int, map[string]any) {
+func (w *worker) stop(in orderRequest) (int, map[string]any) {
 	w.highest[in.Task] = max(w.highest[in.Task], in.Run)
 	if r := w.running[in.Task]; r != nil && r.run == in.Run && !r.stopped {
 		r.stopped = true
@@ -358,7 +358,7 @@
 	return http.StatusOK, map[string]any{}
 }
 
-func (w *worker) hold(in orderRequest, _ string) (int, map[string]any) {
+func (w *worker) hold(in orderRequest) (int, map[string]any) {
 	w.extend(in.DeadlineMs)
 	now := time.Now()
 	for len(w.ended) > 0 && w.ended[0].n <= in.Acked {
