leader: log what a worker listed when a run vanishes

Cause: the line for a run that a worker no longer knows did not tell why the owner believed so. An answer that is cut off, an acknowledgement of ends that were never seen and a restart of the worker all looked alike.

Ruled out: new counters; the question is about single answers.

Change: task-vanished gives the number of runs listed, the ends acknowledged and seen, and the incarnation.

No change of behaviour.

--- a/internal/leader/lost.go
+++ b/internal/leader/lost.go
@@ -136,13 +136,14 @@
 
 // loseUnlistedRuns records as lost the runs that the worker must have known when a hold was sent and did
 // not list.
-func (s *session) loseUnlistedRuns(sent time.Duration, listed map[sched.TaskRef]int64, now sched.Moment) {
+func (s *session) loseUnlistedRuns(sent time.Duration, in orders.Hold, listed map[sched.TaskRef]int64, now sched.Moment) {
 	for ref, run := range s.o.engine.RunsOn(s.entry.ID) {
 		known, ok := s.o.confirmedRuns[ref]
 		if !ok || known.run != run || known.at >= sent || listed[ref] >= run {
 			continue
 		}
-		s.o.lead.Log.Emit(event.TaskVanished).Str("task", ref.String()).Int64("run", run).Str("worker", s.entry.ID).Send()
+		s.o.lead.Log.Emit(event.TaskVanished).Str("task", ref.String()).Int64("run", run).Str("worker", s.entry.ID).
+			Int("listed", len(listed)).Int64("acked", in.Acked).Int64("seen", s.seenEnd).Int64("incarnation", s.incarnation).Send()
 		s.o.lead.Metrics.runEnded(sched.Lost)
 		s.o.engine.End(ref, run, sched.Lost, "", now)
 		s.o.passDue = true
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -225,7 +225,7 @@
 		listed[e.Task] = max(listed[e.Task], e.Run)
 		s.recordEnd(e, now)
 	}
-	s.loseUnlistedRuns(sent, listed, now)
+	s.loseUnlistedRuns(sent, in, listed, now)
 	s.adopted = false
 	s.stopUnconfirmedStarts(sent)
 	if len(out.Ended) > 0 {
