leader: acknowledge ends only to the incarnation that listed them

What callers saw: tasks that had ended as done ran again, up to three times, after a worker had restarted under its id during an outage of the store.

Cause: workers number the ends of their runs anew with each incarnation. A transaction in flight over the restart set the number of the last durable end of the earlier incarnation for the later one, so that holds acknowledged ends that nobody had seen.

Evidence: task-vanished lines with acked 44 and seen 0 after one worker-reborn.

Ruled out: a restart that goes unnoticed (worker-reborn is logged once), a late answer of the earlier incarnation (it would be logged twice; it is dropped now all the same).

Change: transactions carry the incarnation of the ends they cover, and an acknowledgement counts only for the incarnation it was sent to. A hold acknowledges only right after an answer of the worker and after no failed call. The fake workers record each acknowledgement beyond what they have listed.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -29,12 +29,15 @@
 	row       ownership
 	starts    []sched.Order          // starts to send
 	upkeeps   []upkeep.Step          // upkeep orders to send
-	ackedEnds map[*session]int64     // per session, the highest end that becomes durable
+	ackedEnds map[*session]endMark   // per session, the ends that become durable
 	finals    map[string]sched.State // jobs that have ended, with their final states
 	sent      time.Duration          // when the last attempt was sent
 	release   bool                   // it releases the ownership
 }
 
+// endMark is the highest of the ends that an incarnation of a worker has numbered.
+type endMark struct{ incarnation, last int64 }
+
 // commit sends the next transaction unless one is in flight: it carries the records that changed, or is a
 // renewal if the last commit is old.
 func (o *Owner) commit() {
@@ -64,7 +67,7 @@
 // buildTxn returns the next transaction: changed records up to the store's limits, and, once no changed
 // record is left, the ends to acknowledge and the rows to delete.
 func (o *Owner) buildTxn() *pendingTxn {
-	t := &pendingTxn{row: o.row, finals: map[string]sched.State{}, ackedEnds: map[*session]int64{}}
+	t := &pendingTxn{row: o.row, finals: map[string]sched.State{}, ackedEnds: map[*session]endMark{}}
 	t.row.N++
 	ids := make([]string, 0, len(o.dirtyJobs))
 	for id := range o.dirtyJobs {
@@ -100,7 +103,7 @@
 	if len(o.dirtyJobs) == 0 {
 		for _, s := range o.sessions {
 			if s.seenEnd > s.durableEnd {
-				t.ackedEnds[s], s.coveredEnd = s.seenEnd, s.seenEnd
+				t.ackedEnds[s], s.coveredEnd = endMark{s.incarnation, s.seenEnd}, s.seenEnd
 			}
 		}
 		if n := min(len(o.pendingDeletes), maxTxnEntries-2-len(t.txn.Put)); n > 0 {
@@ -191,8 +194,11 @@
 			line.Int64("epoch", o.epoch).Send()
 		}
 	}
-	for s, n := range t.ackedEnds {
-		s.durableEnd = max(s.durableEnd, n)
+	for s, ends := range t.ackedEnds {
+		if ends.incarnation != s.incarnation {
+			continue // the worker has restarted since and numbers its ends anew
+		}
+		s.durableEnd = max(s.durableEnd, ends.last)
 		s.holdIfIdle()
 	}
 	o.readyStarts = append(o.readyStarts, t.starts...)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -150,7 +150,7 @@
 	"a worker restarts under its id": {during: func(sim *simulation, _ []*testNode) {
 		m := sim.worker("w1")
 		m.mu.Lock()
-		m.born, m.runs, m.ended, m.lastEnd = 2, map[sched.TaskRef]*fakeRun{}, nil, 0
+		m.born, m.runs, m.ended, m.lastEnd, m.listedEnd = 2, map[sched.TaskRef]*fakeRun{}, nil, 0, 0
 		m.epoch, m.leaseEnd, m.maxEndedRun = 0, 0, map[sched.TaskRef]int64{}
 		m.clockOffset = -m.sim.now()
 		m.mu.Unlock()
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -43,14 +43,18 @@
 	// incarnationConfirmed is set while the present connection has confirmed that it is still that one.
 	incarnation          int64
 	incarnationConfirmed bool
+	// incarnationSince is when that incarnation first answered a hold, heldAt when it last did, and failedAt when a
+	// call last failed in a way that leaves open which incarnation the next one reaches.
+	incarnationSince, heldAt, failedAt time.Duration
 	// clockMs is the worker's clock at clockAt; clockOK is set once it is known.
 	clockMs int64
 	clockAt time.Duration
 	clockOK bool
 	// leaseUntil is until when runs may live at the worker if it does not answer.
 	leaseUntil time.Duration
-	// The worker numbers the ends of its runs. seenEnd is the highest that it listed, coveredEnd the
-	// highest that a sent transaction covers, durableEnd the highest that is durable.
+	// The worker numbers the ends of its runs, each incarnation from 1. seenEnd is the highest that the present
+	// incarnation listed, coveredEnd the highest that a sent transaction covers, durableEnd the highest that is
+	// durable.
 	seenEnd, coveredEnd, durableEnd int64
 	silent                          bool
 	lastHoldAt                      time.Duration // when the last hold was sent
@@ -96,7 +100,7 @@
 // needsHold reports whether the worker needs a hold: runs are placed there, ends are to be acknowledged, or
 // starts got no answer.
 func (s *session) needsHold() bool {
-	return !s.closed && s.entry.Addr != "" && (s.o.engine.Busy(s.entry.ID) || s.durableEnd > s.ackedEnd || len(s.unconfirmedStarts) > 0)
+	return !s.closed && s.entry.Addr != "" && (s.o.engine.Busy(s.entry.ID) || s.hasUnacknowledgedEnds() || len(s.unconfirmedStarts) > 0)
 }
 
 // checkLeases runs once a tick. It gives up the runs of a silent worker whose leases have ended, closes the
@@ -156,8 +160,11 @@
 func (s *session) sendHold(wait time.Duration) {
 	o := s.o
 	in := orders.Hold{Epoch: o.epoch, Wait: wait}
-	if s.incarnationConfirmed {
+	switch {
+	case s.mayAcknowledge():
 		in.Acked = s.durableEnd
+	case s.hasUnacknowledgedEnds():
+		in.Wait = 0 // the answer tells whether the next hold may acknowledge them
 	}
 	// A silent worker may still receive the hold. Leases are not extended until it answers, or its runs
 	// could never be given up.
@@ -170,7 +177,7 @@
 		s.leaseUntil = max(s.leaseUntil, sent+o.maxRunLife())
 	}
 	s.holdsInFlight++
-	e, timeout := s.entry, wait+max(holdSlack, o.starts.timeout())
+	e, timeout, to := s.entry, in.Wait+max(holdSlack, o.starts.timeout()), s.incarnation
 	o.spawn(func() {
 		if !o.mayOrder() {
 			o.post(func() { s.holdsInFlight-- })
@@ -179,12 +186,48 @@
 		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		out, err := o.lead.Fleet.Hold(ctx, e, in)
 		cancel()
-		o.post(func() { s.handleHold(sent, in, out, err) })
+		o.post(func() { s.handleHold(sent, to, in, out, err) })
 	})
 }
 
-// handleHold handles the outcome of the hold in, which was sent at the time sent.
-func (s *session) handleHold(sent time.Duration, in orders.Hold, out orders.HoldReply, err error) {
+// ackMaxAge is how long after the answer to a hold the next one may acknowledge ends: less than a worker takes to
+// start again. After that a hold without acknowledgement comes first.
+const ackMaxAge = 100 * time.Millisecond
+
+// mayAcknowledge reports whether the next hold may acknowledge ends: there are any that no hold has acknowledged
+// yet, and the hold reaches the incarnation that listed them. Another incarnation would forget ends of its own that
+// nobody has seen.
+func (s *session) mayAcknowledge() bool {
+	return s.hasUnacknowledgedEnds() && s.incarnationConfirmed && s.holdsInFlight == 0 && s.o.lead.now()-s.heldAt <= ackMaxAge
+}
+
+// hasUnacknowledgedEnds reports whether ends are durable that no hold has acknowledged yet.
+func (s *session) hasUnacknowledgedEnds() bool { return s.durableEnd > s.ackedEnd }
+
+// noteIncarnation records the incarnation that answered a hold sent at sent. Another one than before is
+// a restart: the numbers of ends count anew.
+func (s *session) noteIncarnation(sent time.Duration, out orders.HoldReply, now time.Duration) {
+	if out.StartedMs != 0 && out.StartedMs != s.incarnation {
+		if s.incarnation != 0 {
+			s.loseRestartedRuns(sent, out)
+			s.o.lead.Log.Emit(event.WorkerReborn).Str("worker", s.entry.ID).Int64("born", out.StartedMs).Int64("before", s.incarnation).Send()
+			s.seenEnd, s.coveredEnd, s.durableEnd, s.ackedEnd = 0, 0, 0, 0
+			s.o.engine.ForgetAdvice(s.entry.ID)
+		}
+		s.incarnation, s.incarnationSince = out.StartedMs, now
+	}
+	s.heldAt = now
+	// A call that failed meanwhile may have met a restart that this answer came before.
+	s.incarnationConfirmed = s.incarnationConfirmed || sent > s.failedAt
+}
+
+// noteUncertain records that the next call may reach another incarnation.
+func (s *session) noteUncertain() {
+	s.incarnationConfirmed, s.failedAt = false, s.o.lead.now()
+}
+
+// handleHold handles the outcome of the hold in, which was sent to the incarnation to at the time sent.
+func (s *session) handleHold(sent time.Duration, to int64, in orders.Hold, out orders.HoldReply, err error) {
 	o := s.o
 	s.holdsInFlight--
 	o.lead.Metrics.orderSent("hold", err)
@@ -196,20 +239,21 @@
 		return
 	}
 	now := o.moment()
+	if out.StartedMs != 0 && out.StartedMs != s.incarnation && sent < s.incarnationSince {
+		// The answer of an earlier incarnation, overtaken by one of the present incarnation.
+		s.holdIfDue()
+		return
+	}
 	wasSilent := s.silent
 	if wasSilent {
 		s.setSilent(false, nil)
 	}
-	if s.incarnation != 0 && out.StartedMs != 0 && out.StartedMs != s.incarnation {
-		s.loseRestartedRuns(sent, out)
-		o.lead.Log.Emit(event.WorkerReborn).Str("worker", s.entry.ID).Int64("born", out.StartedMs).Int64("before", s.incarnation).Send()
-		s.seenEnd, s.coveredEnd, s.durableEnd, s.ackedEnd = 0, 0, 0, 0
-		o.engine.ForgetAdvice(s.entry.ID)
-	}
+	s.noteIncarnation(sent, out, now.Steady)
 	s.noteAnswer(now.Steady)
 	s.forgetLostRuns()
-	s.incarnation, s.incarnationConfirmed = out.StartedMs, true
-	s.ackedEnd = max(s.ackedEnd, in.Acked)
+	if to == s.incarnation {
+		s.ackedEnd = max(s.ackedEnd, in.Acked)
+	}
 	s.recordClock(out.ClockMs, now.Steady)
 	listed := map[sched.TaskRef]int64{}
 	for _, r := range out.Running {
@@ -299,7 +343,7 @@
 // handleHoldFailure handles a hold that failed: the worker counts as silent until it answers again.
 func (s *session) handleHoldFailure(err error) {
 	o := s.o
-	s.incarnationConfirmed = false
+	s.noteUncertain()
 	s.noteFailure(err)
 	if errors.Is(err, orders.ErrFenced) {
 		s.o.lead.Log.Emit(event.LeadLost).Int64("epoch", s.o.epoch).Str("reason", "a worker has accepted orders of a later epoch").Send()
@@ -375,7 +419,12 @@
 			err := o.lead.Fleet.Stop(ctx, e, order.Task, order.Run, o.epoch)
 			cancel()
 			at := o.lead.now()
-			o.post(func() { o.lead.Metrics.orderSent("stop", err) })
+			o.post(func() {
+				o.lead.Metrics.orderSent("stop", err)
+				if err != nil {
+					s.noteUncertain()
+				}
+			})
 			if err == nil {
 				o.post(func() { s.handleStop(order, at) })
 				return
@@ -464,6 +513,9 @@
 	if old := o.silentAt[e.Addr]; !known && old != nil && old != s && old.endsUnplanned() {
 		old.countLostRuns() // the worker at the address is a later incarnation
 	}
+	if s.entry.StartedMs != e.StartedMs {
+		s.noteUncertain()
+	}
 	s.entry, s.listed = e, true
 	if s.incarnation == 0 {
 		s.incarnation = e.StartedMs
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -60,6 +60,9 @@
 	maxEndedRun map[sched.TaskRef]int64 // highest run that has ended, or was stopped, per task
 	ended       []orders.Ended
 	lastEnd     int64 // number of the last end
+	listedEnd   int64 // number of the last end that a hold has listed
+	// connected has the incarnation to which each node is connected. The connection closes with it.
+	connected   map[string]int64
 	clockOffset time.Duration
 }
 
@@ -126,7 +129,7 @@
 func (sim *simulation) addWorker(id string, born int64, runTime time.Duration) {
 	m := &fakeWorker{
 		id: id, addr: id, sim: sim, room: model.Room{Millicores: 64000, MemoryMB: 256000, Accelerators: 8}, born: born,
-		mu: &sim.workersMu, runs: map[sched.TaskRef]*fakeRun{}, maxEndedRun: map[sched.TaskRef]int64{},
+		mu: &sim.workersMu, runs: map[sched.TaskRef]*fakeRun{}, maxEndedRun: map[sched.TaskRef]int64{}, connected: map[string]int64{},
 	}
 	m.runTime.set(runTime)
 	sim.workers[id] = m
@@ -244,6 +247,8 @@
 	case m.dead.get():
 		<-ctx.Done()
 		return orders.ErrOutcomeUnknown
+	case m.connectionClosed(node):
+		return errClosed
 	}
 	if delay := m.delay.get(); delay != nil && later != nil {
 		if d := delay(); d > 0 {
@@ -255,6 +260,20 @@
 	return nil
 }
 
+// connectionClosed reports whether the node's connection leads to an earlier incarnation; the next call of the node
+// connects anew.
+func (m *fakeWorker) connectionClosed(node string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	born, ok := m.connected[node]
+	if ok && born != m.born {
+		delete(m.connected, node)
+		return true
+	}
+	m.connected[node] = m.born
+	return false
+}
+
 // clock returns the worker's clock in ms.
 func (m *fakeWorker) clock() int64 { return (m.sim.now() + m.clockOffset).Milliseconds() + 1000 }
 
@@ -283,19 +302,27 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	until := m.sim.now() + in.Wait
+	born := int64(0)
 	for {
 		m.mu.Lock()
+		if born != 0 && born != m.born {
+			m.mu.Unlock()
+			return orders.HoldReply{}, errClosed
+		}
+		born = m.born
 		if m.fenced(in.Epoch) {
 			m.mu.Unlock()
 			return orders.HoldReply{}, orders.ErrFenced
 		}
 		m.forget(in.Acked)
+		in.Acked = 0
 		m.endFinishedRuns()
 		if in.DeadlineMs > 0 {
 			m.extend(in.DeadlineMs)
 			in.DeadlineMs = 0
 		}
 		out := orders.HoldReply{StartedMs: m.born, ClockMs: m.clock(), Ended: slices.Clone(m.ended)}
+		m.listedEnd = m.lastEnd
 		for _, r := range m.runs {
 			p := int(100 * (m.sim.now() - r.began) / max(1, r.duration))
 			out.Running = append(out.Running, orders.Running{Task: r.task, Run: r.run, Checkpoint: r.saved, Percent: min(p, 100)})
@@ -320,8 +347,12 @@
 	}
 }
 
-// forget removes the acknowledged ends, and records which tasks were acknowledged as done.
+// forget removes the acknowledged ends, and records which tasks were acknowledged as done. It records a violation
+// if they include ends that this incarnation has not listed.
 func (m *fakeWorker) forget(acked int64) {
+	if acked > m.listedEnd {
+		m.sim.addViolation("%s is told to forget its ends up to %d and has listed %d", m.id, acked, m.listedEnd)
+	}
 	for len(m.ended) > 0 && m.ended[0].Seq <= acked {
 		e := m.ended[0]
 		if e.Cause == sched.Done && m.sim.now() <= m.leaseEnd {
@@ -415,7 +446,7 @@
 	defer m.mu.Unlock()
 	m.crashed.set(true)
 	m.dead.set(true)
-	m.runs, m.ended, m.lastEnd = map[sched.TaskRef]*fakeRun{}, nil, 0
+	m.runs, m.ended, m.lastEnd, m.listedEnd = map[sched.TaskRef]*fakeRun{}, nil, 0, 0
 	m.epoch, m.leaseEnd, m.maxEndedRun = 0, 0, map[sched.TaskRef]int64{}
 }
 
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -154,7 +154,7 @@
 	default:
 		// The next hold tells whether the worker has the run. If it has not, the run is stopped, so that it
 		// can't begin later.
-		s.incarnationConfirmed = false
+		s.noteUncertain()
 		s.noteFailure(err)
 		s.unconfirmedStarts[in.Task] = startOutcome{run: in.Run, at: at}
 		s.sendHold(0)
