leader, edge: learn of cancellations within seconds over a dead connection

What callers saw: a cancelled job went on to its next step, 4 s after the cancel had been confirmed, when open connections to the store had gone silent once.

Cause: the owner learnt of cancellations from the feed alone, and a read of the feed took up to 7.5 s to fail.

Evidence: one store-failed line for the feed, a timeout, 3.3 s or more after the cancel; the tasks were placed before that line, none after it.

Ruled out: a second dead connection from the same pool (there was one failure only), and a cancel that was read and ignored.

Change: a read of the feed fails after 2.2 s and is sent again at once; the whole table is read only after a second failure or if the history is gone. The margin grows with failures in a row, so that a large page gets through. A node that stores a cancellation notifies the owner. The feed moves to a file of its own.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -19,6 +19,7 @@
 	"greengageline/internal/orders"
 	"greengageline/internal/peer"
 	"greengageline/internal/rows"
+	"greengageline/internal/sched"
 	"greengageline/pkg/model"
 )
 
@@ -179,6 +180,8 @@
 	connected   atomic.Bool // whether calls between the nodes succeed
 	// edgeReportsMoreCores makes the edge node's heartbeats report four times its cores.
 	edgeReportsMoreCores atomic.Bool
+	// notes counts the notifications that have arrived; failNotes is how many are to fail first.
+	notes, failNotes atomic.Int64
 
 	mu sync.Mutex
 	// plans is guarded by mu.
@@ -280,6 +283,10 @@
 		if err := cbor.Unmarshal(data, &v); err != nil {
 			return err
 		}
+		if p.failNotes.Add(-1) >= 0 {
+			return fmt.Errorf("%w: connection is dead", peer.ErrNotReached)
+		}
+		p.notes.Add(1)
 		if reply, err = n.handleNote(ctx, &v); err != nil {
 			return err
 		}
@@ -451,6 +458,32 @@
 	})
 }
 
+// Guards against a cancellation that reaches the owner through the feed alone, which may wait on a dead connection.
+func TestOwnerIsNotifiedOfCancellation(t *testing.T) {
+	for name, fail := range map[string]int64{"at once": 0, "over a new connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := startPair(t)
+				_, err := p.edge.Serve(context.Background(), call(Submit, "j"))
+				is.NoErr(err)
+				time.Sleep(time.Second)
+				before := p.notes.Load()
+				p.failNotes.Store(fail)
+				reply, err := p.edge.Serve(context.Background(), call(Cancel, "j"))
+				is.NoErr(err)
+				is.True(reply.Found)
+				time.Sleep(50 * time.Millisecond)
+				is.Equal(p.notes.Load(), before+1) // the owner was notified
+				time.Sleep(time.Second)
+				reply, err = p.edge.Serve(context.Background(), call(State, "j"))
+				is.NoErr(err)
+				is.Equal(reply.Look.State, sched.Cancelled)
+			})
+		})
+	}
+}
+
 func TestStaleNodeRefusesRevokedKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -231,34 +231,44 @@
 	return a
 }
 
-// notifyTimeout limits the notification of the owner about a new job, which also reaches it
-// through its feed.
-const notifyTimeout = 350 * time.Millisecond
+const (
+	// notifyTimeout limits one attempt to notify the owner of a row, which also reaches it through its feed.
+	notifyTimeout = 350 * time.Millisecond
+	// maxNotifyTries limits the attempts: an open connection may be dead, and the second attempt dials.
+	maxNotifyTries = 2
+)
 
+// noteRequest is a row of WorkTable that was just stored: a job or a cancellation.
 type noteRequest struct {
+	// ID is the row's key.
 	ID string `json:"id"`
-	// Work is the value of the job's row.
+	// Work is the row's value.
 	Work []byte `json:"work"`
 }
 
-// notifyOwner notifies the owner of a job that was just stored. It is used while the store is
-// slow, because the owner's feed is then slow too.
+// notifyOwner notifies the owner of a job or a cancellation that was just stored. The owner's feed may be slow, or may
+// wait on a dead connection.
 func (n *Node) notifyOwner(row rows.Row) {
-	addr := n.Candidate.OwnerAddr()
-	if addr == "" || addr == n.Candidate.Addr {
-		return
+	for range maxNotifyTries {
+		addr := n.Candidate.OwnerAddr()
+		if addr == "" || addr == n.Candidate.Addr {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+		var out struct{}
+		err := n.call(ctx, addr, "Note", &noteRequest{ID: row.Key, Work: row.Value}, &out)
+		cancel()
+		if err == nil {
+			return
+		}
+		// If no attempt succeeds, the owner learns of the row from its feed.
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-	defer cancel()
-	var out struct{}
-	// If the call fails, the owner learns of the job from its feed.
-	_ = n.call(ctx, addr, "Note", &noteRequest{ID: row.Key, Work: row.Value}, &out)
 }
 
-// handleNote passes a job that another node has stored to the owner, if it runs on this node.
+// handleNote passes a row that another node has stored to the owner, if it runs on this node.
 func (n *Node) handleNote(_ context.Context, in *noteRequest) (*struct{}, error) {
 	if o := n.Candidate.LocalOwner(); o != nil {
-		o.ApplyAccepted(rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(in.ID), Key: in.ID, Value: in.Work})
+		o.ApplyAccepted(rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(strings.TrimSuffix(in.ID, leader.CancelSuffix)), Key: in.ID, Value: in.Work})
 	}
 	return &struct{}{}, nil
 }
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -156,6 +156,8 @@
 	}
 	if o := n.Candidate.LocalOwner(); o != nil {
 		o.ApplyAccepted(row)
+	} else {
+		go n.notifyOwner(row)
 	}
 	n.Log.Emit(event.WorkCancelled).Str("job", id).Bool("found", work.Version != 0).Send()
 	return work.Version != 0, nil
--- /dev/null
+++ b/internal/leader/follow.go
@@ -0,0 +1,139 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"greengageline/internal/clock"
+	"greengageline/internal/event"
+	"greengageline/internal/rows"
+	"greengageline/internal/sched"
+	"greengageline/pkg/model"
+)
+
+const (
+	// feedWait is how long a read of the feed of accepted jobs waits for a change. With feedMargin it stays well
+	// below the 3 s after which a cancelled job must start nothing more: an open connection may go silent, which only
+	// the timeout shows.
+	feedWait = time.Second
+	// feedMargin is the time allowed for the answer beyond the wait. A store that is 80 times slower than usual takes
+	// 0.4 s. It doubles with each failure in a row, up to maxFeedMargin, since a large page may take longer.
+	feedMargin    = 1200 * time.Millisecond
+	maxFeedMargin = 5 * time.Second
+)
+
+// followFeed reads the feed of accepted jobs and cancellations until the owner ends.
+func (o *Owner) followFeed(after uint64) {
+	wait, margin := feedWait, feedMargin
+	for failures := 0; o.ctx.Err() == nil; {
+		ctx, cancel := context.WithTimeout(o.ctx, wait+margin)
+		page, err := o.lead.Rows.Feed(ctx, WorkTable, after, wait)
+		cancel()
+		if err != nil {
+			failures++
+			after = o.recoverFeed(after, failures, err)
+			wait, margin = 0, min(2*margin, maxFeedMargin)
+			continue
+		}
+		failures, wait, margin = 0, feedWait, feedMargin
+		after = max(after, page.Version)
+		if len(page.Rows) == 0 {
+			continue
+		}
+		o.post(func() { o.applyWorkRows(page.Rows) })
+	}
+}
+
+// recoverFeed prepares the next read after a number of failures of the feed in a row and returns the version from
+// which it goes on. A first failure may only mean that the connection was dead, so the feed is read again at once.
+// After that, or if the store no longer has the history, the whole table is read.
+func (o *Owner) recoverFeed(after uint64, failures int, err error) uint64 {
+	if o.ctx.Err() != nil {
+		return after
+	}
+	o.lead.Log.Emit(event.StoreFailed).Str("op", "feed "+WorkTable).Int("failures", failures).Err(err).Send()
+	if failures == 1 && !errors.Is(err, rows.ErrCompacted) {
+		if errors.Is(err, rows.ErrRefused) {
+			clock.Sleep(o.ctx, retryPauseMin)
+		}
+		return after
+	}
+	clock.Sleep(o.ctx, retryPauseMin)
+	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+	defer cancel()
+	page, err := o.lead.Rows.ReadParts(ctx, WorkTable, WorkPartNames())
+	if err != nil {
+		o.lead.Log.Emit(event.StoreFailed).Str("op", "read "+WorkTable).Err(err).Send()
+		clock.Sleep(o.ctx, retryPauseMin)
+		return after
+	}
+	o.post(func() { o.applyWorkRows(page.Rows) })
+	return max(after, page.Version)
+}
+
+// applyWorkRow applies a row of WorkTable: an accepted job, with its stored record if there is one, or a
+// cancellation.
+func (o *Owner) applyWorkRow(r rows.Row, record []byte) {
+	if id, ok := strings.CutSuffix(r.Key, CancelSuffix); ok {
+		if !r.Deleted {
+			o.applyCancel(id)
+		}
+		return
+	}
+	if r.Deleted || o.work[r.Key] != nil {
+		return
+	}
+	w := new(model.Work)
+	if err := json.Unmarshal(r.Value, w); err != nil {
+		o.lead.Log.Emit(event.RowCorrupt).Str("table", WorkTable).Str("key", r.Key).Err(err).Send()
+		return
+	}
+	j, err := sched.Restore(w, record)
+	if err != nil {
+		o.lead.Log.Emit(event.RowCorrupt).Str("table", RecordTable).Str("key", r.Key).Err(err).Send()
+		return
+	}
+	o.work[r.Key] = w
+	if !j.Open() {
+		o.finals[r.Key] = j.Final
+	}
+	o.engine.Add(j, o.moment())
+	if o.earlyCancels[w.ID] {
+		delete(o.earlyCancels, w.ID)
+		o.engine.Cancel(w.ID, o.moment())
+	}
+}
+
+// applyCancel cancels a job, or remembers the cancellation until the job is known.
+func (o *Owner) applyCancel(id string) {
+	if o.work[id] == nil {
+		o.earlyCancels[id] = true
+		return
+	}
+	o.engine.Cancel(id, o.moment())
+}
+
+// applyWorkRows applies rows of WorkTable that have no record yet and requests a scheduling pass.
+func (o *Owner) applyWorkRows(rs []rows.Row) {
+	for _, r := range rs {
+		o.applyWorkRow(r, nil)
+	}
+	o.passDue = true
+}
+
+// ApplyAccepted applies a job or cancellation that a node has just made durable, before the feed delivers it. It
+// does not block.
+func (o *Owner) ApplyAccepted(r rows.Row) {
+	apply := func() {
+		if o.rebuilt.Load() { // until then the job's record is not known
+			o.applyWorkRows([]rows.Row{r})
+		}
+	}
+	select {
+	case o.inbox <- apply:
+	default: // the inbox is full; the feed delivers the row
+	}
+}
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,8 +22,6 @@
 	// listInterval is how often the workers' entries are read: a few times within the 2 s after which a
 	// leaving worker must get nothing new.
 	listInterval = 500 * time.Millisecond
-	// feedWait is how long a read of the feed of accepted jobs waits for a change.
-	feedWait = 5 * time.Second
 	// missingEntryGrace is how long after the store's return a worker whose entry is missing still counts
 	// as alive. The users' specification gives 2 s.
 	missingEntryGrace = 2200 * time.Millisecond
@@ -393,108 +389,6 @@
 	}
 }
 
-// applyWorkRow applies a row of WorkTable: an accepted job, with its stored record if there is one, or a
-// cancellation.
-func (o *Owner) applyWorkRow(r rows.Row, record []byte) {
-	if id, ok := strings.CutSuffix(r.Key, CancelSuffix); ok {
-		if !r.Deleted {
-			o.applyCancel(id)
-		}
-		return
-	}
-	if r.Deleted || o.work[r.Key] != nil {
-		return
-	}
-	w := new(model.Work)
-	if err := json.Unmarshal(r.Value, w); err != nil {
-		o.lead.Log.Emit(event.RowCorrupt).Str("table", WorkTable).Str("key", r.Key).Err(err).Send()
-		return
-	}
-	j, err := sched.Restore(w, record)
-	if err != nil {
-		o.lead.Log.Emit(event.RowCorrupt).Str("table", RecordTable).Str("key", r.Key).Err(err).Send()
-		return
-	}
-	o.work[r.Key] = w
-	if !j.Open() {
-		o.finals[r.Key] = j.Final
-	}
-	o.engine.Add(j, o.moment())
-	if o.earlyCancels[w.ID] {
-		delete(o.earlyCancels, w.ID)
-		o.engine.Cancel(w.ID, o.moment())
-	}
-}
-
-// applyCancel cancels a job, or remembers the cancellation until the job is known.
-func (o *Owner) applyCancel(id string) {
-	if o.work[id] == nil {
-		o.earlyCancels[id] = true
-		return
-	}
-	o.engine.Cancel(id, o.moment())
-}
-
-// followFeed reads the feed of accepted jobs until the owner ends.
-func (o *Owner) followFeed(after uint64) {
-	for o.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(o.ctx, feedWait+storeTimeout)
-		page, err := o.lead.Rows.Feed(ctx, WorkTable, after, feedWait)
-		cancel()
-		if err != nil {
-			after = o.resyncFeed(after, err)
-			continue
-		}
-		after = max(after, page.Version)
-		if len(page.Rows) == 0 {
-			continue
-		}
-		o.post(func() { o.applyWorkRows(page.Rows) })
-	}
-}
-
-// resyncFeed reads the whole table, after a pause, when the feed has failed, because the store may have
-// dropped the history that the feed needs. It returns the version from which the feed goes on; if the read
-// fails too, that is the old one.
-func (o *Owner) resyncFeed(after uint64, err error) uint64 {
-	if o.ctx.Err() != nil {
-		return after
-	}
-	o.lead.Log.Emit(event.StoreFailed).Str("op", "feed "+WorkTable).Err(err).Send()
-	clock.Sleep(o.ctx, retryPauseMin)
-	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
-	defer cancel()
-	page, err := o.lead.Rows.ReadParts(ctx, WorkTable, WorkPartNames())
-	if err != nil {
-		clock.Sleep(o.ctx, retryPauseMin)
-		return after
-	}
-	o.post(func() { o.applyWorkRows(page.Rows) })
-	return max(after, page.Version)
-}
-
-// applyWorkRows applies rows of WorkTable that have no record yet and requests a scheduling pass.
-func (o *Owner) applyWorkRows(rs []rows.Row) {
-	for _, r := range rs {
-		o.applyWorkRow(r, nil)
-	}
-	o.passDue = true
-}
-
-// ApplyAccepted applies a job or cancellation that a node has just made durable, before the feed delivers it. It
-// does not block.
-func (o *Owner) ApplyAccepted(r rows.Row) {
-	apply := func() {
-		if o.rebuilt.Load() { // until then the job's record is not known
-			o.applyWorkRows([]rows.Row{r})
-		}
-	}
-	select {
-	case o.inbox <- apply:
-	default: // the inbox is full; the feed delivers the row
-	}
-}
-
 // JobState returns a job's state; ok is false if the owner can't tell.
 func (o *Owner) JobState(ctx context.Context, id string) (JobState, bool) {
 	var out JobState
--- a/internal/leader/store_test.go
+++ b/internal/leader/store_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengageline/internal/clock"
@@ -43,11 +44,15 @@
 	// The faults to produce. refuse is called before each call and returns the error to fail it with; lose
 	// is called after a write has taken effect and says whether its answer is lost; late returns after how
 	// long a write takes effect whose answer is lost, or 0.
-	refuse          syncValue[func(node, op string) error]
-	lose            syncValue[func(node string) bool]
-	late            syncValue[func(node string) time.Duration]
+	refuse syncValue[func(node, op string) error]
+	lose   syncValue[func(node string) bool]
+	late   syncValue[func(node string) time.Duration]
+	// silentFeed reports whether a feed that begins now goes over a connection that is dead: it gets no answer.
+	silentFeed      syncValue[func(node string) bool]
 	callTime        syncValue[time.Duration] // how long each call takes
 	compactedBefore uint64                   // history before this version is gone
+	// silenced counts how often the open connections have gone silent: feeds in flight then get no answer.
+	silenced atomic.Int64
 	// txnTime is how long a part takes for a transaction, one after another; partFreeAt is when each part
 	// can take the next.
 	txnTime    time.Duration
@@ -194,7 +199,16 @@
 
 func (m *fakeStore) feed(ctx context.Context, node, table string, after uint64, wait time.Duration) (rows.Page, error) {
 	deadline := time.Now().Add(wait)
+	silenced := m.silenced.Load()
+	if silent := m.silentFeed.get(); silent != nil && silent(node) {
+		<-ctx.Done()
+		return rows.Page{}, rows.ErrOutcomeUnknown
+	}
 	for {
+		if m.silenced.Load() != silenced {
+			<-ctx.Done()
+			return rows.Page{}, rows.ErrOutcomeUnknown
+		}
 		if err := m.admit(ctx, node, "feed"); err != nil {
 			return rows.Page{}, err
 		}
