leader, rows: bound the waits on dead connections by what depends on them

A read of the workers' entries, of the ownership row and of a job took 1.5 to 2.5 s to notice a dead connection, and two holds of 2 s did not fit into a lease of 4 s.

Change: the list of workers fails after 1.2 s and is read again at once, with more time after each failure in a row. A read of one row has a first attempt of 0.5 s. A worker may wait for a third of the lease before it answers a hold. The workers' entries move to a file of their own.

--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -19,9 +19,6 @@
 const (
 	// tickInterval is how often the owner checks what depends on time.
 	tickInterval = 100 * time.Millisecond
-	// listInterval is how often the workers' entries are read: a few times within the 2 s after which a
-	// leaving worker must get nothing new.
-	listInterval = 500 * time.Millisecond
 	// missingEntryGrace is how long after the store's return a worker whose entry is missing still counts
 	// as alive. The users' specification gives 2 s.
 	missingEntryGrace = 2200 * time.Millisecond
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// holdWait is how long a worker waits for a run to end before it answers a hold: the longest that the
-	// platform's workers wait.
-	holdWait = 2 * time.Second
+	// maxHoldWait is how long a worker waits at most for a run to end before it answers a hold: the longest that the
+	// platform's workers wait. leaseHoldWaits is how many such waits a lease must allow for.
+	maxHoldWait    = 2 * time.Second
+	leaseHoldWaits = 3
 	// orderTimeout is the least timeout of a start or a stop. A round trip takes a few ms. A gang's members wait
 	// 3 s for the last one; within that time a lost start must be detected and replaced.
 	orderTimeout = 350 * time.Millisecond
@@ -25,7 +26,7 @@
 	holdRetryPause = 250 * time.Millisecond
 	// maxOwnDelay is how long a worker's missing answers may be put down to this node's own link or processor:
 	// twice the longest hold.
-	maxOwnDelay = 2 * (holdWait + maxOrderTimeout)
+	maxOwnDelay = 2 * (maxHoldWait + maxOrderTimeout)
 	// maxStartsInFlight bounds the starts in flight to one worker, whose connections all nodes share.
 	maxStartsInFlight = 6
 )
@@ -89,12 +90,21 @@
 	return s
 }
 
+// holdWait returns how long a worker may wait before it answers a hold. If a hold gets no answer, the next must still
+// be in time for the leases.
+func (o *Owner) holdWait() time.Duration {
+	if o.lead.Bounds.MaxLease == 0 {
+		return maxHoldWait
+	}
+	return min(maxHoldWait, o.lead.Bounds.MaxLease/leaseHoldWaits)
+}
+
 // holdIfIdle sends a hold unless one is in flight.
 func (s *session) holdIfIdle() {
 	if s.holdsInFlight > 0 || s.closed || s.entry.Addr == "" {
 		return
 	}
-	s.sendHold(holdWait)
+	s.sendHold(s.o.holdWait())
 }
 
 // needsHold reports whether the worker needs a hold: runs are placed there, ends are to be acknowledged, or
@@ -284,7 +294,7 @@
 	case wasSilent && s.needsHold():
 		s.sendHold(0) // extends the leases, which the last hold did not
 	case s.seenEnd == s.durableEnd && s.needsHold():
-		s.sendHold(holdWait)
+		s.sendHold(s.o.holdWait())
 	}
 }
 
@@ -460,75 +470,3 @@
 		s.sendHold(0)
 	}
 }
-
-// pollWorkerList reads the workers' entries until the owner ends.
-func (o *Owner) pollWorkerList() {
-	for o.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
-		entries, err := o.lead.Fleet.List(ctx)
-		cancel()
-		o.post(func() { o.applyWorkerList(entries, err) })
-		clock.Sleep(o.ctx, listInterval)
-	}
-}
-
-// applyWorkerList applies the workers' entries, or a failure to read them. A worker whose entry is missing
-// is leaving, but not within missingEntryGrace after the store's return.
-func (o *Owner) applyWorkerList(entries []orders.Entry, err error) {
-	now := o.lead.now()
-	if err != nil {
-		if o.listOK {
-			o.lead.Log.Emit(event.StoreFailed).Str("op", "list workers").Err(err).Send()
-		}
-		o.listOK = false
-		return
-	}
-	if !o.listOK {
-		o.listOK, o.listOKSince = true, now
-	}
-	listed := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		listed[e.ID] = true
-		o.applyEntry(e, now)
-	}
-	if now-o.listOKSince < missingEntryGrace {
-		return
-	}
-	for id, s := range o.sessions {
-		if !listed[id] && s.listed {
-			s.listed = false
-			o.updateWorker(s)
-			o.lead.Log.Emit(event.WorkerLeaving).Str("worker", id).Str("reason", "its entry was removed").Send()
-		}
-	}
-}
-
-// applyEntry applies a worker's entry, read at the time now.
-func (o *Owner) applyEntry(e orders.Entry, now time.Duration) {
-	s := o.session(e)
-	known := s.listed
-	if known && !s.entry.Leaving && e.Leaving {
-		o.lead.Log.Emit(event.WorkerLeaving).Str("worker", e.ID).Str("reason", "its entry is marked as leaving").Send()
-	}
-	if old := o.silentAt[e.Addr]; !known && old != nil && old != s && old.endsUnplanned() {
-		old.countLostRuns() // the worker at the address is a later incarnation
-	}
-	if s.entry.StartedMs != e.StartedMs {
-		s.noteUncertain()
-	}
-	s.entry, s.listed = e, true
-	if s.incarnation == 0 {
-		s.incarnation = e.StartedMs
-	}
-	if !s.clockOK {
-		// The entry was written before this reading, so the estimate of the clock is behind it.
-		s.recordClock(e.ClockMs, now)
-	}
-	o.updateWorker(s)
-	if s.adopted {
-		s.holdIfIdle()
-	}
-	if !known {
-		o.passDue = true
-	}
-}
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -132,7 +132,7 @@
 		o.engine.Confirm(in.Task, in.Run, 0, "", o.moment())
 	}
 	if s.holdsInFlight == 0 && s.needsHold() {
-		s.sendHold(holdWait)
+		s.sendHold(o.holdWait())
 	}
 }
 
--- /dev/null
+++ b/internal/leader/workers.go
@@ -0,0 +1,99 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"greengageline/internal/clock"
+	"greengageline/internal/event"
+	"greengageline/internal/orders"
+)
+
+const (
+	// listInterval is how often the workers' entries are read: a few times within the 2 s after which a
+	// leaving worker must get nothing new.
+	listInterval = 500 * time.Millisecond
+	// listTimeout bounds a read of the entries, so that one over a dead connection and the next still fit into these
+	// 2 s. It doubles with each failure in a row, up to maxListTimeout, since a read of all entries may take longer.
+	listTimeout    = 1200 * time.Millisecond
+	maxListTimeout = 5 * time.Second
+)
+
+// pollWorkerList reads the workers' entries until the owner ends. A failure may only mean that the connection was dead,
+// so the next read follows at once.
+func (o *Owner) pollWorkerList() {
+	for timeout := listTimeout; o.ctx.Err() == nil; {
+		ctx, cancel := context.WithTimeout(o.ctx, timeout)
+		entries, err := o.lead.Fleet.List(ctx)
+		cancel()
+		o.post(func() { o.applyWorkerList(entries, err) })
+		if err != nil {
+			timeout = min(2*timeout, maxListTimeout)
+			clock.Sleep(o.ctx, retryPauseMin)
+			continue
+		}
+		timeout = listTimeout
+		clock.Sleep(o.ctx, listInterval)
+	}
+}
+
+// applyWorkerList applies the workers' entries, or a failure to read them. A worker whose entry is missing
+// is leaving, but not within missingEntryGrace after the store's return.
+func (o *Owner) applyWorkerList(entries []orders.Entry, err error) {
+	now := o.lead.now()
+	if err != nil {
+		if o.listOK {
+			o.lead.Log.Emit(event.StoreFailed).Str("op", "list workers").Err(err).Send()
+		}
+		o.listOK = false
+		return
+	}
+	if !o.listOK {
+		o.listOK, o.listOKSince = true, now
+	}
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		o.applyEntry(e, now)
+	}
+	if now-o.listOKSince < missingEntryGrace {
+		return
+	}
+	for id, s := range o.sessions {
+		if !listed[id] && s.listed {
+			s.listed = false
+			o.updateWorker(s)
+			o.lead.Log.Emit(event.WorkerLeaving).Str("worker", id).Str("reason", "its entry was removed").Send()
+		}
+	}
+}
+
+// applyEntry applies a worker's entry, read at the time now.
+func (o *Owner) applyEntry(e orders.Entry, now time.Duration) {
+	s := o.session(e)
+	known := s.listed
+	if known && !s.entry.Leaving && e.Leaving {
+		o.lead.Log.Emit(event.WorkerLeaving).Str("worker", e.ID).Str("reason", "its entry is marked as leaving").Send()
+	}
+	if old := o.silentAt[e.Addr]; !known && old != nil && old != s && old.endsUnplanned() {
+		old.countLostRuns() // the worker at the address is a later incarnation
+	}
+	if s.entry.StartedMs != e.StartedMs {
+		s.noteUncertain()
+	}
+	s.entry, s.listed = e, true
+	if s.incarnation == 0 {
+		s.incarnation = e.StartedMs
+	}
+	if !s.clockOK {
+		// The entry was written before this reading, so the estimate of the clock is behind it.
+		s.recordClock(e.ClockMs, now)
+	}
+	o.updateWorker(s)
+	if s.adopted {
+		s.holdIfIdle()
+	}
+	if !known {
+		o.passDue = true
+	}
+}
--- /dev/null
+++ b/internal/leader/workers_test.go
@@ -0,0 +1,72 @@
+package leader
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"greengageline/internal/orders"
+)
+
+// drainLimit is how long after its entry says that a worker drains it may still be told to start something, by the
+// users' rules.
+const drainLimit = 2 * time.Second
+
+// Guards against starts on a worker that drains because the list of workers was read over a dead connection.
+func TestDrainingIsSeenOverDeadConnection(t *testing.T) {
+	for name, dead := range map[string]int64{"the first read": 1, "no read": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, nodes, stop := startSimulation(2, 1)
+				defer stop()
+				fleet := nodes[0].Fleet
+				list := fleet.List
+				var left atomic.Int64
+				fleet.List = func(ctx context.Context) ([]orders.Entry, error) {
+					if left.Add(-1) >= 0 {
+						<-ctx.Done()
+						return nil, orders.ErrOutcomeUnknown
+					}
+					return list(ctx)
+				}
+				left.Store(dead)
+				m := sim.worker("w0")
+				m.leaving.set(true)
+				time.Sleep(drainLimit)
+				sim.submit("a", "bulk", oneGPU(16)) // fills both workers, if both are used
+				time.Sleep(200 * time.Millisecond)
+				m.mu.Lock()
+				n := len(m.runs)
+				m.mu.Unlock()
+				is.Equal(n, 0) // nothing starts on the worker that drains
+			})
+		})
+	}
+}
+
+// Guards against leases that end because one hold went over a dead connection: the next one must be in time.
+func TestHoldWaitLeavesTimeForAnotherHold(t *testing.T) {
+	for name, c := range map[string]struct{ lease, want time.Duration }{
+		"usual":       {6 * time.Second, maxHoldWait},
+		"long":        {time.Minute, maxHoldWait},
+		"short":       {4 * time.Second, 4 * time.Second / 3},
+		"shortest":    {3 * time.Second, time.Second},
+		"not limited": {0, maxHoldWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := &Owner{lead: &Candidate{Bounds: Bounds{MaxLease: c.lease}}}
+			wait := o.holdWait()
+			is.Equal(wait, c.want)
+			if c.lease > 0 {
+				// The last lease began up to a wait before the lost hold was sent.
+				is.True(2*wait+holdSlack+holdRetryPause < c.lease)
+			}
+		})
+	}
+}
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -127,8 +127,26 @@
 	}
 }
 
-// Get reads one row; a missing row has Version 0.
+// firstGetTimeout bounds the first attempt to read one row, if ctx leaves time for a second one. A store that is 80
+// times slower than usual answers in 0.4 s.
+const firstGetTimeout = 500 * time.Millisecond
+
+// Get reads one row; a missing row has Version 0. The first attempt may be lost on a dead connection, in which case a
+// second one follows.
 func (s *Store) Get(ctx context.Context, table, part, key string) (Row, error) {
+	first, cancel := ctx, func() {}
+	if d, ok := ctx.Deadline(); !ok || time.Until(d) > 2*firstGetTimeout {
+		first, cancel = context.WithTimeout(ctx, firstGetTimeout)
+	}
+	r, err := s.get(first, table, part, key)
+	cancel()
+	if first == ctx || !errors.Is(err, ErrOutcomeUnknown) || ctx.Err() != nil {
+		return r, err
+	}
+	return s.get(ctx, table, part, key)
+}
+
+func (s *Store) get(ctx context.Context, table, part, key string) (Row, error) {
 	p, err := s.Range(ctx, table, part, key, key+"\x00")
 	if err != nil {
 		return Row{}, err
