rows, platform: go on from the rows of a page that is cut off

A feed went on from the version that came with a page, also if the page was cut off; if that is the newest version of the store and not that of the page, rows are skipped.

Ruled out as in need of a change: reads of whole parts and of the VMs (all pages are read), questions to the adviser (the rest is asked later), purges and transactions (the rest follows).

Change: Page.Next gives the version from which a feed goes on; after a page that is cut off it is just before the last row, as a transaction may be split. The fake store cuts pages off at 500 rows.

Conclusion: shown by tests only. How the platform's feed cuts pages off is not on its pages; both readings are served.

--- a/internal/leader/follow.go
+++ b/internal/leader/follow.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		failures, wait, margin = 0, feedWait, feedMargin
-		after = max(after, page.Version)
+		after = page.Next(after)
 		if len(page.Rows) == 0 {
 			continue
 		}
--- a/internal/leader/store_test.go
+++ b/internal/leader/store_test.go
@@ -59,6 +59,9 @@
 	partFreeAt map[string]time.Time
 }
 
+// maxPageRows is the number of rows at which a page is cut off.
+const maxPageRows = 500
+
 func newFakeStore() *fakeStore {
 	m := &fakeStore{rows: map[string]rows.Row{}, partFreeAt: map[string]time.Time{}, changed: make(chan struct{})}
 	m.callTime.set(10 * time.Millisecond)
@@ -194,6 +197,9 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b rows.Row) int { return strings.Compare(a.Key, b.Key) })
+	if len(page.Rows) > maxPageRows {
+		page.Rows, page.More = page.Rows[:maxPageRows], true
+	}
 	return page, nil
 }
 
@@ -219,10 +225,11 @@
 		}
 		page := rows.Page{Version: m.version}
 		for _, r := range m.history {
-			if r.Table == table && r.Version > after {
+			if r.Table == table && r.Version > after && len(page.Rows) < maxPageRows {
 				page.Rows = append(page.Rows, r)
 			}
 		}
+		page.More = len(page.Rows) == maxPageRows
 		changed := m.changed
 		m.mu.Unlock()
 		left := time.Until(deadline)
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -42,13 +42,26 @@
 }
 
 // Page is the result of a read: the rows, and the store's newest version when they were read. More means
-// that the range has further rows.
+// that the range or the feed may have further rows.
 type Page struct {
 	Rows    []Row
 	Version uint64
 	More    bool
 }
 
+// Next returns the version from which a feed that was read from after goes on. A page that is cut off may end within a
+// transaction, whose rows are then read again.
+func (p Page) Next(after uint64) uint64 {
+	if !p.More || len(p.Rows) == 0 {
+		return max(after, p.Version)
+	}
+	last := p.Rows[len(p.Rows)-1].Version
+	if last > after+1 {
+		return last - 1
+	}
+	return max(after, last)
+}
+
 // Store is the interface to the platform's store.
 type Store struct {
 	// Commit runs a transaction and returns its version. Its error wraps ErrConflict (then present holds
@@ -109,14 +122,19 @@
 // ReadPart reads a whole part of a table. The page's Version is that of the first page read, so that a feed from
 // there misses nothing.
 func (s *Store) ReadPart(ctx context.Context, table, part string) (Page, error) {
+	return s.ReadRange(ctx, table, part, "", "")
+}
+
+// ReadRange reads the rows of a part from key from on and before key to, over all pages; an empty to means no upper
+// bound. The page's Version is that of the first page read.
+func (s *Store) ReadRange(ctx context.Context, table, part, from, to string) (Page, error) {
 	var all Page
-	from := ""
-	for {
-		p, err := s.Range(ctx, table, part, from, "")
+	for first := true; ; first = false {
+		p, err := s.Range(ctx, table, part, from, to)
 		if err != nil {
 			return all, err
 		}
-		if from == "" {
+		if first {
 			all.Version = p.Version
 		}
 		all.Rows = append(all.Rows, p.Rows...)
--- a/internal/rows/rows_test.go
+++ b/internal/rows/rows_test.go
@@ -60,3 +60,29 @@
 		})
 	}
 }
+
+// Guards against rows that a feed skips after a page that was cut off, also within a transaction, whichever version the
+// store gives with such a page.
+func TestFeedGoesOnAfterCutOffPage(t *testing.T) {
+	at := func(versions ...uint64) (out []Row) {
+		for _, v := range versions {
+			out = append(out, Row{Version: v})
+		}
+		return out
+	}
+	for name, c := range map[string]struct {
+		page  Page
+		after uint64
+		want  uint64
+	}{
+		"whole":                          {Page{Rows: at(4, 5), Version: 9}, 3, 9},
+		"nothing changed":                {Page{Version: 9}, 9, 9},
+		"an older version":               {Page{Version: 7}, 9, 9},
+		"cut off, version of the store":  {Page{Rows: at(4, 5, 6), Version: 90, More: true}, 3, 5},
+		"cut off, version of the page":   {Page{Rows: at(4, 5, 6), Version: 6, More: true}, 3, 5},
+		"cut off within one transaction": {Page{Rows: at(4, 4, 4), Version: 90, More: true}, 3, 4},
+		"cut off without rows":           {Page{Version: 8, More: true}, 3, 8},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(c.page.Next(c.after), c.want) })
+	}
+}
