leader: conclude nothing from a list of ends that is cut off

What callers saw: 100 of 600 tasks that were done ran again after the owner died as they ended.

Cause: a worker lists 500 ends at a time, and the owner gave up each run that was in neither list of the answer.

Evidence: 100 task-vanished lines in one answer with 500 listed runs and nothing acknowledged.

Ruled out: acknowledgements of ends that were not recorded, and starts that were never confirmed.

Runs are given up and starts stopped only after a whole list.

--- a/internal/leader/lost.go
+++ b/internal/leader/lost.go
@@ -124,6 +124,9 @@
 		return
 	}
 	s.countLostRuns()
+	if out.More {
+		return // the runs that it does not know show once it has listed all ends
+	}
 	for ref, run := range s.o.engine.RunsOn(s.entry.ID) {
 		has := slices.ContainsFunc(out.Running, func(r orders.Running) bool { return r.Task == ref && r.Run >= run }) ||
 			slices.ContainsFunc(out.Ended, func(e orders.Ended) bool { return e.Task == ref && e.Run >= run })
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -279,9 +279,12 @@
 		listed[e.Task] = max(listed[e.Task], e.Run)
 		s.recordEnd(e, now)
 	}
-	s.loseUnlistedRuns(sent, in, listed, now)
+	if !out.More {
+		// An answer that is cut off does not tell which runs the worker does not know.
+		s.loseUnlistedRuns(sent, in, listed, now)
+		s.stopUnconfirmedStarts(sent)
+	}
 	s.adopted = false
-	s.stopUnconfirmedStarts(sent)
 	if len(out.Ended) > 0 {
 		o.passDue = true
 	}
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -286,6 +286,9 @@
 	return false
 }
 
+// maxListedEnds is how many ends a worker lists at a time.
+const maxListedEnds = 500
+
 const (
 	maxLease  = 6 * time.Second
 	killGrace = 300 * time.Millisecond
@@ -321,8 +324,11 @@
 			m.extend(in.DeadlineMs)
 			in.DeadlineMs = 0
 		}
-		out := orders.HoldReply{StartedMs: m.born, ClockMs: m.clock(), Ended: slices.Clone(m.ended)}
-		m.listedEnd = m.lastEnd
+		listed := m.ended[:min(len(m.ended), maxListedEnds)]
+		out := orders.HoldReply{StartedMs: m.born, ClockMs: m.clock(), Ended: slices.Clone(listed), More: len(listed) == maxListedEnds}
+		if len(listed) > 0 {
+			m.listedEnd = max(m.listedEnd, listed[len(listed)-1].Seq)
+		}
 		for _, r := range m.runs {
 			p := int(100 * (m.sim.now() - r.began) / max(1, r.duration))
 			out.Running = append(out.Running, orders.Running{Task: r.task, Run: r.run, Checkpoint: r.saved, Percent: min(p, 100)})
@@ -478,6 +484,7 @@
 	if m.fenced(epoch) {
 		return orders.ErrFenced
 	}
+	m.endFinishedRuns() // those that finished before the stop
 	m.maxEndedRun[task] = max(m.maxEndedRun[task], run)
 	if r := m.runs[task]; r != nil && r.run <= run && !r.stopped {
 		r.stopped = true
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -70,7 +70,10 @@
 	StartedMs int64
 	ClockMs   int64
 	Running   []Running
-	Ended     []Ended
+	// Ended is in ascending order of Seq. More means that it is cut off: the worker may have further ends, which it
+	// lists once these are acknowledged.
+	Ended []Ended
+	More  bool
 }
 
 // Running is a run that the worker has, with its newest checkpoint and its progress in percent.
