sched: don't count runs as stalled while their worker is silent

Cause: a run without progress for 3 s is stopped, also when nothing was heard from its worker meanwhile. When the worker answered again, its runs were stopped and began anew although they had gone on.

Ruled out: lapsed leases, which end the runs only after a longer silence.

Change: the time without progress counts from the worker's return.

Conclusion: fixed; a run that hangs on a silent worker is stopped up to 3 s later.

--- a/internal/leader/workers_test.go
+++ b/internal/leader/workers_test.go
@@ -49,6 +49,31 @@
 	}
 }
 
+// Guards against stopping the runs of a worker that was silent for a while: they make progress that nobody reports.
+func TestSilentWorkersRunsGoOn(t *testing.T) {
+	for name, silent := range map[string]time.Duration{
+		"for 1 s":   time.Second,
+		"for 3 s":   3 * time.Second,
+		"for 3.2 s": 3200 * time.Millisecond, // the leases have not ended
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, _, stop := startSimulation(1, 1)
+				defer stop()
+				sim.setRunTime(12 * time.Second)
+				sim.submit("a", "bulk", oneGPU(8))
+				time.Sleep(2 * time.Second)
+				from := sim.now()
+				sim.worker("w0").unreachable.set(func(string) bool { return sim.now()-from < silent })
+				sim.awaitCompleted(t, []string{"a"}, completionLimit)
+				is.Equal(len(sim.starts), 8) // each task has run once
+				is.Equal(sim.violations, nil)
+			})
+		})
+	}
+}
+
 // Guards against leases that end because one hold went over a dead connection: the next one must be in time.
 func TestHoldWaitLeavesTimeForAnotherHold(t *testing.T) {
 	for name, c := range map[string]struct{ lease, want time.Duration }{
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -557,6 +557,10 @@
 	e.lastStallCheck = now.Steady
 	for _, w := range e.sortedWorkers {
 		for ref, t := range w.tasks {
+			if w.Silent {
+				t.progressAt = now.Steady // without reports, nothing tells whether the run makes progress
+				continue
+			}
 			j := e.jobs[ref.Job]
 			if j == nil || !t.Confirmed || t.Stopping || t.percent >= completePercent || j.Work.Steps[ref.Step].Lasts {
 				continue
