leader: count crashes before the start was answered

What callers saw: a job stayed running while its task crashed one worker after the other, 20 in 40 s.

Cause: when a worker was back under its id, only runs that it had confirmed counted as crashed. A start without an answer was stopped and then given up as lost.

Evidence: start-failed, worker-reborn, task-stopped and task-vanished for each of the 19 crashes, and no task-lost.

Ruled out: a restart that goes unnoticed, and counts that begin anew.

Change: each start is kept with the incarnation of the worker that it was sent to. A run that is not listed counts as crashed if another incarnation answers. The incarnation that closed a connection right after a start is stored for the next owner.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -135,7 +135,7 @@
 	{TaskPlaced, "task-placed", zerolog.InfoLevel, "A task's run was decided; the line gives the worker and the reason."},
 	{TaskEnded, "task-ended", zerolog.InfoLevel, "A worker listed the end of a run; present tells whether it was the task's newest."},
 	{TaskStopped, "task-stopped", zerolog.InfoLevel, "A run is stopped; the line gives the reason."},
-	{TaskVanished, "task-vanished", zerolog.WarnLevel, "A worker no longer knows a run that it had; the task waits again. The line gives how many runs the worker listed, the ends acknowledged to it and seen from it, and its incarnation."},
+	{TaskVanished, "task-vanished", zerolog.WarnLevel, "A worker no longer knows a run that it had; the task waits again. The line gives how many runs the worker listed, the ends acknowledged to it and seen from it, its incarnation, and the one that the start was sent to."},
 	{TaskStray, "task-stray", zerolog.WarnLevel, "A worker has a run that the records don't know; it is stopped."},
 	{StartFailed, "start-failed", zerolog.WarnLevel, "The order to start a run failed; the line tells whether it may still be carried out."},
 	{Advised, "advised", zerolog.InfoLevel, "The adviser was asked which workers may run a step; the line gives how many it allows, or the error."},
--- a/internal/leader/crash_test.go
+++ b/internal/leader/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -28,13 +29,25 @@
 type crashCase struct {
 	sameID       bool
 	restartDelay time.Duration
-	onCrash      func(nodes []*testNode, n int)
+	// unanswered means that the worker crashes before it answers the start, silent that its connections stay open.
+	unanswered, silent bool
+	// gang means that the deadly task is one of three that start together.
+	gang    bool
+	onCrash func(nodes []*testNode, n int)
 }
 
 var crashCases = map[string]crashCase{
-	"worker returns under its id":         {sameID: true, restartDelay: restartDelay},
-	"worker returns under another id":     {restartDelay: restartDelay},
-	"worker returns after its leases end": {restartDelay: 12 * time.Second},
+	"worker returns under its id":                           {sameID: true, restartDelay: restartDelay},
+	"worker returns under another id":                       {restartDelay: restartDelay},
+	"worker returns after its leases end":                   {restartDelay: 12 * time.Second},
+	"before the start is answered":                          {sameID: true, restartDelay: 2 * time.Second, unanswered: true},
+	"before the start is answered, back soon":               {sameID: true, restartDelay: 150 * time.Millisecond, unanswered: true},
+	"before the start is answered, back late":               {sameID: true, restartDelay: 12 * time.Second, unanswered: true},
+	"before the start is answered, another id":              {restartDelay: 2 * time.Second, unanswered: true},
+	"before the start is answered, connections stay open":   {sameID: true, restartDelay: 2 * time.Second, unanswered: true, silent: true},
+	"before the start of a gang is answered":                {sameID: true, restartDelay: 2 * time.Second, unanswered: true, gang: true},
+	"before the start is answered, owner dies at the first": {sameID: true, restartDelay: 2 * time.Second, unanswered: true, onCrash: killOwnerAt(1)},
+	"before the start is answered, owner dies twice":        {sameID: true, restartDelay: 2 * time.Second, unanswered: true, onCrash: killOwnerAt(1, 3)},
 	"owner dies after the first crash": {restartDelay: restartDelay, onCrash: func(nodes []*testNode, n int) {
 		if n == 1 {
 			ownerOf(nodes).kill()
@@ -54,6 +67,16 @@
 	}},
 }
 
+// killOwnerAt returns a function that kills the owner after the crashes with these numbers, once it has seen them.
+func killOwnerAt(crashes ...int) func(nodes []*testNode, n int) {
+	return func(nodes []*testNode, n int) {
+		if slices.Contains(crashes, n) {
+			time.Sleep(200 * time.Millisecond)
+			ownerOf(nodes).kill()
+		}
+	}
+}
+
 // Guards against a task that crashes worker after worker until the end of the day, over changes of the owner,
 // and against failing the jobs that ran beside it.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
@@ -74,9 +97,21 @@
 		if task.Job != "deadly" {
 			return
 		}
+		if c.gang && task.Task != 1 {
+			m.runs[task].duration = time.Hour // it works only together with the others
+			return
+		}
 		n := int(crashes.Add(1))
-		time.AfterFunc(crashDelay, func() {
-			m.crash()
+		delay := crashDelay
+		if c.unanswered {
+			delay = 0
+		}
+		time.AfterFunc(delay, func() {
+			if c.silent {
+				m.powerOff()
+			} else {
+				m.crash()
+			}
 			time.AfterFunc(c.restartDelay, func() { m.restart(c.sameID) })
 			if c.onCrash != nil {
 				c.onCrash(nodes, n)
@@ -84,7 +119,11 @@
 		})
 	})
 	ids := sim.submitAll(9)
-	sim.submit("deadly", "bulk", oneGPU(1))
+	deadly := oneGPU(1)
+	if c.gang {
+		deadly = gang(3)
+	}
+	sim.submit("deadly", "bulk", deadly)
 	for i := range 3 {
 		ids = append(ids, fmt.Sprintf("k%d", i))
 		sim.submit(ids[len(ids)-1], "bulk", oneGPU(4))
@@ -110,6 +149,13 @@
 			from := m.sim.now()
 			m.unreachable.set(func(string) bool { return m.sim.now()-from < 9*time.Second })
 		},
+		"resets connections for a while": func(m *fakeWorker) {
+			from, n := m.sim.now(), atomic.Int64{}
+			m.resets.set(func() bool { return m.sim.now()-from < 4*time.Second && n.Add(1)%3 != 0 })
+			for i := range 6 {
+				m.sim.submit(fmt.Sprintf("r%d", i), "bulk", oneGPU(1))
+			}
+		},
 		"leaves and is replaced": func(m *fakeWorker) {
 			m.leaving.set(true)
 			time.Sleep(2 * time.Second)
@@ -134,13 +180,14 @@
 				time.Sleep(12 * time.Second)
 				o := ownerOf(nodes).LocalOwner()
 				o.postAndWait(context.Background(), func() {
-					for i := range 4 {
-						for task := range 3 {
-							n, suspect := o.engine.Crashes(sched.TaskRef{Job: fmt.Sprintf("j%d", i), Task: task})
+					for id, w := range o.work {
+						for task := range w.Steps[0].Tasks {
+							n, suspect := o.engine.Crashes(sched.TaskRef{Job: id, Task: task})
 							is.Equal(n, 0)
 							is.True(!suspect)
 						}
 					}
+					is.True(len(o.work) >= 4)
 				})
 			})
 		})
--- a/internal/leader/lost.go
+++ b/internal/leader/lost.go
@@ -35,7 +35,8 @@
 	o := s.o
 	known := s.knownFor(ref, run)
 	cause := sched.Lost
-	if crashed || s.endsUnplanned() && o.engine.Disconnected(ref, run) {
+	_, disconnected := o.engine.Disconnected(ref, run)
+	if crashed || s.endsUnplanned() && disconnected {
 		cause = sched.Crashed
 		o.engine.EndCrashed(ref, run, known, o.moment())
 	} else {
@@ -70,7 +71,7 @@
 		return
 	}
 	for ref, run := range s.o.engine.RunsOn(s.entry.ID) {
-		s.o.engine.NoteDisconnect(ref, run, s.knownFor(ref, run))
+		s.o.engine.NoteDisconnect(ref, run, s.knownFor(ref, run), s.reachedIncarnation())
 	}
 }
 
@@ -138,7 +139,8 @@
 }
 
 // loseUnlistedRuns records as lost the runs that the worker must have known when a hold was sent and did
-// not list.
+// not list. If it has restarted since their starts were sent, it crashed under them: also under one whose start
+// got no answer, which has been stopped in the meantime.
 func (s *session) loseUnlistedRuns(sent time.Duration, in orders.Hold, listed map[sched.TaskRef]int64, now sched.Moment) {
 	for ref, run := range s.o.engine.RunsOn(s.entry.ID) {
 		known, ok := s.o.confirmedRuns[ref]
@@ -146,10 +148,15 @@
 			continue
 		}
 		s.o.lead.Log.Emit(event.TaskVanished).Str("task", ref.String()).Int64("run", run).Str("worker", s.entry.ID).
-			Int("listed", len(listed)).Int64("acked", in.Acked).Int64("seen", s.seenEnd).Int64("incarnation", s.incarnation).Send()
+			Int("listed", len(listed)).Int64("acked", in.Acked).Int64("seen", s.seenEnd).Int64("incarnation", s.incarnation).
+			Int64("started_on", known.incarnation).Send()
+		s.o.passDue = true
+		if known.incarnation != 0 && known.incarnation != s.incarnation && s.endsUnplanned() {
+			s.loseRun(ref, run, true)
+			continue
+		}
 		s.o.lead.Metrics.runEnded(sched.Lost)
 		s.o.engine.End(ref, run, sched.Lost, "", now)
-		s.o.passDue = true
 	}
 }
 
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -101,6 +101,9 @@
 type startOutcome struct {
 	run int64
 	at  time.Duration
+	// incarnation is the incarnation of the worker that the start was sent to, or that listed the run; 0 if it is not
+	// known.
+	incarnation int64
 	// stopping is set once a stop has been sent for a start that got no answer.
 	stopping bool
 }
@@ -334,7 +337,8 @@
 		s.leaseUntil = until
 		s.adopted, s.silent = true, true
 		for ref, run := range o.engine.RunsOn(id) {
-			o.confirmedRuns[ref] = startOutcome{run: run, at: -1}
+			from, _ := o.engine.Disconnected(ref, run)
+			o.confirmedRuns[ref] = startOutcome{run: run, at: -1, incarnation: from}
 		}
 	}
 	o.rebuilt.Store(true)
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -231,6 +231,10 @@
 	s.incarnationConfirmed = s.incarnationConfirmed || sent > s.failedAt
 }
 
+// reachedIncarnation returns the latest incarnation that is known, which an order that is sent now will reach as far
+// as that can be told; 0 if none is known.
+func (s *session) reachedIncarnation() int64 { return max(s.incarnation, s.entry.StartedMs) }
+
 // noteUncertain records that the next call may reach another incarnation.
 func (s *session) noteUncertain() {
 	s.incarnationConfirmed, s.failedAt = false, s.o.lead.now()
@@ -271,7 +275,11 @@
 		o.engine.Confirm(r.Task, r.Run, r.Percent, r.Checkpoint, now)
 		if s.unconfirmedStarts[r.Task].run == r.Run {
 			delete(s.unconfirmedStarts, r.Task)
-			o.confirmedRuns[r.Task] = startOutcome{run: r.Run, at: sent}
+			o.confirmedRuns[r.Task] = startOutcome{run: r.Run, at: sent, incarnation: s.incarnation}
+		}
+		if c := o.confirmedRuns[r.Task]; c.run == r.Run && c.incarnation != s.incarnation {
+			c.incarnation = s.incarnation
+			o.confirmedRuns[r.Task] = c
 		}
 		s.stopUnknownRun(r)
 	}
@@ -465,11 +473,13 @@
 // handleStop handles the answer to a stop: the run ends or never begins, and the next hold tells which.
 func (s *session) handleStop(order sched.Order, at time.Duration) {
 	o := s.o
-	if s.unconfirmedStarts[order.Task].run == order.Run {
+	incarnation := o.confirmedRuns[order.Task].incarnation
+	if u := s.unconfirmedStarts[order.Task]; u.run == order.Run {
+		incarnation = u.incarnation
 		delete(s.unconfirmedStarts, order.Task)
 	}
 	if run, worker, placed := o.engine.CurrentRun(order.Task); placed && run == order.Run && worker == s.entry.ID {
-		o.confirmedRuns[order.Task] = startOutcome{run: order.Run, at: at}
+		o.confirmedRuns[order.Task] = startOutcome{run: order.Run, at: at, incarnation: incarnation}
 		s.sendHold(0)
 	}
 }
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -47,9 +47,10 @@
 	runTime       syncValue[time.Duration]
 	failRuns      syncValue[bool]
 	leaving       syncValue[bool]
-	crashed       syncValue[bool] // its connections are closed, and nobody listens
-	replaced      syncValue[bool] // another incarnation answers at its address
-	ignoreContext syncValue[bool] // a hold does not end with its context, as a real call may not
+	resets        syncValue[func() bool] // whether the connection is closed instead of carrying an order
+	crashed       syncValue[bool]        // its connections are closed, and nobody listens
+	replaced      syncValue[bool]        // another incarnation answers at its address
+	ignoreContext syncValue[bool]        // a hold does not end with its context, as a real call may not
 
 	// mu guards all workers of the simulation, since a start reads another worker's runs. It is locked
 	// before simulation.mu.
@@ -168,12 +169,17 @@
 			if err := m.deliver(ctx, node, func() { _, _ = m.start(in) }); err != nil {
 				return 0, err
 			}
-			clock, err := m.start(in)
-			if m.dropAnswers.get() {
+			born := m.incarnation()
+			clockMs, err := m.start(in)
+			clock.Sleep(ctx, messageDelay)
+			if m.crashed.get() || m.incarnation() != born {
+				return 0, errClosed
+			}
+			if m.dead.get() || m.dropAnswers.get() {
 				<-ctx.Done()
 				return 0, orders.ErrOutcomeUnknown
 			}
-			return clock, err
+			return clockMs, err
 		},
 		Stop: func(ctx context.Context, e orders.Entry, task sched.TaskRef, run, epoch int64) error {
 			m := sim.worker(e.ID)
@@ -250,6 +256,9 @@
 	case m.connectionClosed(node):
 		return errClosed
 	}
+	if resets := m.resets.get(); resets != nil && resets() {
+		return errClosed
+	}
 	if delay := m.delay.get(); delay != nil && later != nil {
 		if d := delay(); d > 0 {
 			time.AfterFunc(d, later)
@@ -260,6 +269,12 @@
 	return nil
 }
 
+func (m *fakeWorker) incarnation() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.born
+}
+
 // connectionClosed reports whether the node's connection leads to an earlier incarnation; the next call of the node
 // connects anew.
 func (m *fakeWorker) connectionClosed(node string) bool {
@@ -448,9 +463,14 @@
 
 // crash ends the worker with its runs and closes its connections.
 func (m *fakeWorker) crash() {
+	m.crashed.set(true)
+	m.powerOff()
+}
+
+// powerOff ends the worker with its runs and leaves its connections open.
+func (m *fakeWorker) powerOff() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.crashed.set(true)
 	m.dead.set(true)
 	m.runs, m.ended, m.lastEnd, m.listedEnd = map[sched.TaskRef]*fakeRun{}, nil, 0, 0
 	m.epoch, m.leaseEnd, m.maxEndedRun = 0, 0, map[sched.TaskRef]int64{}
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -52,13 +52,13 @@
 	s.startsInFlight[order.Task] = order.Run
 	s.leaseUntil = max(s.leaseUntil, o.lead.now()+o.maxRunLife())
 	o.starts.inFlight++
-	e, sentAt, timeout := s.entry, o.lead.now(), o.starts.timeout()
-	o.spawn(func() { o.callStart(s, e, in, sentAt, timeout) })
+	e, sentAt, timeout, to := s.entry, o.lead.now(), o.starts.timeout(), s.reachedIncarnation()
+	o.spawn(func() { o.callStart(s, e, in, to, sentAt, timeout) })
 }
 
-// callStart calls the worker to start a run. If the worker's clock is not known it first reads it with a
+// callStart calls the worker, as far as is known its incarnation to, to start a run. If the worker's clock is not known it first reads it with a
 // hold, to compute the lease.
-func (o *Owner) callStart(s *session, e orders.Entry, in orders.Start, sentAt, timeout time.Duration) {
+func (o *Owner) callStart(s *session, e orders.Entry, in orders.Start, to int64, sentAt, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(o.ctx, timeout)
 	defer cancel()
 	err := error(nil)
@@ -82,7 +82,7 @@
 	o.post(func() {
 		o.recordStartTime(at-sentAt, at, err)
 		s.leaseUntil = max(s.leaseUntil, leaseFrom+o.maxRunLife())
-		s.handleStart(in, clockMs, at, err)
+		s.handleStart(in, to, clockMs, at, err)
 		o.sendReadyStarts()
 	})
 }
@@ -111,20 +111,20 @@
 	return orders.ErrNotSent
 }
 
-// handleStart handles the outcome of a start.
-func (s *session) handleStart(in orders.Start, clockMs int64, at time.Duration, err error) {
+// handleStart handles the outcome of a start that was sent to the incarnation to.
+func (s *session) handleStart(in orders.Start, to, clockMs int64, at time.Duration, err error) {
 	o := s.o
 	o.lead.Metrics.orderSent("start", err)
 	if s.startsInFlight[in.Task] == in.Run {
 		delete(s.startsInFlight, in.Task)
 	}
 	if err != nil {
-		s.handleStartFailure(in, at, err)
+		s.handleStartFailure(in, to, at, err)
 		return
 	}
 	s.recordClock(clockMs, at)
 	s.noteAnswer(at)
-	o.confirmedRuns[in.Task] = startOutcome{run: in.Run, at: at}
+	o.confirmedRuns[in.Task] = startOutcome{run: in.Run, at: at, incarnation: to}
 	if run, worker, placed := o.engine.CurrentRun(in.Task); placed && run == in.Run && worker == s.entry.ID {
 		if j := o.engine.Job(in.Task.Job); j != nil && !j.Started {
 			o.lead.Metrics.jobStarted(o.sinceAccepted(j))
@@ -137,7 +137,7 @@
 }
 
 // handleStartFailure handles a start that failed, by whether it may still be carried out.
-func (s *session) handleStartFailure(in orders.Start, at time.Duration, err error) {
+func (s *session) handleStartFailure(in orders.Start, to int64, at time.Duration, err error) {
 	o := s.o
 	o.lead.Log.Emit(event.StartFailed).Str("task", in.Task.String()).Int64("run", in.Run).Str("worker", s.entry.ID).
 		Int64("epoch", o.epoch).Err(err).Send()
@@ -156,7 +156,7 @@
 		// can't begin later.
 		s.noteUncertain()
 		s.noteFailure(err)
-		s.unconfirmedStarts[in.Task] = startOutcome{run: in.Run, at: at}
+		s.unconfirmedStarts[in.Task] = startOutcome{run: in.Run, at: at, incarnation: to}
 		s.sendHold(0)
 	}
 }
--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -74,21 +74,24 @@
 // atStart reports whether a crash is put down to the start of a run that the worker had for known.
 func atStart(known time.Duration) bool { return known >= 0 && known < crashWindow }
 
-// NoteDisconnect records that a worker closed its connections when it had a run for known. If that was right
-// after the start, and the worker does not answer until the run is given up, it counts as a crash, also
-// for a later owner.
-func (e *Engine) NoteDisconnect(ref TaskRef, run int64, known time.Duration) {
+// NoteDisconnect records that an incarnation of a worker closed its connections when it had a run for known. If that
+// was right after the start, and that incarnation does not answer any more, it counts as a crash, also for a later
+// owner.
+func (e *Engine) NoteDisconnect(ref TaskRef, run int64, known time.Duration, incarnation int64) {
 	if _, _, t := e.find(ref); t != nil && t.Phase == Placed && t.Run == run && atStart(known) {
-		t.disconnectedRun = run
+		t.disconnectedRun, t.disconnectedFrom = run, incarnation
 		e.changedJobs[ref.Job] = true
 	}
 }
 
 // Disconnected reports whether the worker of a run closed its connections right after the start and has not
-// answered since.
-func (e *Engine) Disconnected(ref TaskRef, run int64) bool {
+// listed the run since, and which incarnation of it that was, or 0 if that is not known.
+func (e *Engine) Disconnected(ref TaskRef, run int64) (incarnation int64, ok bool) {
 	_, _, t := e.find(ref)
-	return t != nil && t.disconnectedRun == run
+	if t == nil || t.disconnectedRun != run {
+		return 0, false
+	}
+	return t.disconnectedFrom, true
 }
 
 // Alone reports whether a task is placed on a worker of its own.
--- a/internal/sched/record.go
+++ b/internal/sched/record.go
@@ -43,6 +43,8 @@
 	CrashedRun   int64 `json:"cr,omitempty"`
 	// Disconnected is the run right after whose start the worker closed its connections.
 	Disconnected int64 `json:"d,omitempty"`
+	// DisconnectedFrom is the incarnation of the worker that did so.
+	DisconnectedFrom int64 `json:"df,omitempty"`
 	// Suspect is set while the task must run on workers of its own.
 	Suspect bool `json:"x,omitempty"`
 }
@@ -86,7 +88,8 @@
 		t := &b.Tasks[i]
 		r.Tasks[i] = taskRecord{
 			Phase: t.Phase, Run: t.Run, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint, FailedOn: t.failedOn,
-			Crashes: t.Crashes, StartCrashes: t.StartCrashes, CrashedRun: t.crashedRun, Disconnected: t.disconnectedRun, Suspect: t.suspect,
+			Crashes: t.Crashes, StartCrashes: t.StartCrashes, CrashedRun: t.crashedRun, Disconnected: t.disconnectedRun,
+			DisconnectedFrom: t.disconnectedFrom, Suspect: t.suspect,
 		}
 		if t.Phase != Placed {
 			r.Tasks[i].Worker = ""
@@ -180,7 +183,8 @@
 		t := r.Tasks[i]
 		b.Tasks[i] = Task{
 			Phase: t.Phase, Run: t.Run, Worker: t.Worker, Failures: t.Failures, Checkpoint: t.Checkpoint, failedOn: t.FailedOn,
-			Crashes: t.Crashes, StartCrashes: t.StartCrashes, crashedRun: t.CrashedRun, disconnectedRun: t.Disconnected, suspect: t.Suspect,
+			Crashes: t.Crashes, StartCrashes: t.StartCrashes, crashedRun: t.CrashedRun, disconnectedRun: t.Disconnected,
+			disconnectedFrom: t.DisconnectedFrom, suspect: t.Suspect,
 		}
 	}
 }
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -18,7 +18,7 @@
 		t.confirmedAt = now.Steady
 	}
 	if t.disconnectedRun == run {
-		t.disconnectedRun = 0
+		t.disconnectedRun, t.disconnectedFrom = 0, 0
 		e.changedJobs[ref.Job] = true
 	}
 	e.clearSuspect(t, now)
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -70,9 +70,10 @@
 	// those that did so as it started. suspect is set while the task must run on workers of its own.
 	Crashes, StartCrashes int
 	crashedRun            int64
-	// disconnectedRun is the run right after whose start the worker closed its connections; 0 once it answers.
-	disconnectedRun int64
-	suspect         bool
+	// disconnectedRun is the run right after whose start the worker closed its connections; 0 once it lists the run.
+	// disconnectedFrom is the incarnation that did so, as its start time in Unix ms.
+	disconnectedRun, disconnectedFrom int64
+	suspect                           bool
 
 	// Confirmed is set once the worker has reported that it has the run.
 	Confirmed bool
