--- a/internal/leader/follow_test.go
+++ b/internal/leader/follow_test.go
@@ -47,8 +47,8 @@
 				sim.setRunTime(20 * time.Second)
 				second := oneGPU(4)
 				second.After = []int{0}
-				sim.submit("a", "bulk", oneGPU(4), second)
-				for sim.state("a") != sched.Running {
+				sim.submit("cancelled", "bulk", oneGPU(4), second)
+				for sim.state("cancelled") != sched.Running {
 					time.Sleep(10 * time.Millisecond)
 				}
 				for _, gap := range c.gaps {
@@ -59,7 +59,7 @@
 				sim.store.silentFeed.set(func(string) bool { return int(redialled.Add(1)) <= c.redialled })
 				silentAt := sim.now()
 				time.Sleep(c.cancelAfter)
-				sim.cancel("a")
+				sim.cancel("cancelled")
 				limit := max(sim.now(), silentAt) + cancelLimit
 				if c.redialled > 0 {
 					limit += feedMargin + feedWait // each dead connection takes a timeout
