leader: ask silent workers again

Cause: only workers with runs or with ends to acknowledge were sent holds. A worker whose runs had been given up while it was silent got neither holds nor new work until the owner changed.

Evidence: a pool of two workers, one of them cut off for 12 s or a minute; only half of the next job started.

Ruled out: the worker's entry, which was read all the while, as entries say nothing about whether orders arrive.

Change: a silent worker that is listed is sent a hold after 0.5 s and then in intervals that double up to 4 s.

Figures: both cases of TestSilentWorkerIsUsedAgain fail before (8 of 16 tasks) and pass after.

Conclusion: fixed.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -24,6 +24,10 @@
 	holdSlack = 700 * time.Millisecond
 	// holdRetryPause is the pause after a hold that failed.
 	holdRetryPause = 250 * time.Millisecond
+	// minProbePause and maxProbePause bound the time between holds to a silent worker without runs; it doubles with each
+	// one that fails.
+	minProbePause = 500 * time.Millisecond
+	maxProbePause = 4 * time.Second
 	// maxOwnDelay is how long a worker's missing answers may be put down to this node's own link or processor:
 	// twice the longest hold.
 	maxOwnDelay = 2 * (maxHoldWait + maxOrderTimeout)
@@ -58,6 +62,7 @@
 	// durable.
 	seenEnd, coveredEnd, durableEnd int64
 	silent                          bool
+	probePause                      time.Duration // time until the next hold to the silent worker, if nothing runs there
 	lastHoldAt                      time.Duration // when the last hold was sent
 	answeredAt                      time.Duration // when the worker last answered a hold or a start
 	// outOfTouch is set from the first call that failed since then; disconnected says that the worker closed
@@ -128,6 +133,12 @@
 	}
 	if s.holdsInFlight == 0 && s.needsHold() && (s.seenEnd == s.durableEnd || now-s.lastHoldAt > pendingEndsHoldInterval) {
 		s.sendHold(0)
+		return
+	}
+	// Nothing else would show that a silent worker answers again, since it gets no new work.
+	if s.silent && s.holdsInFlight == 0 && s.entry.Addr != "" && now-s.lastHoldAt >= s.probePause {
+		s.probePause = min(2*s.probePause, maxProbePause)
+		s.sendHold(0)
 	}
 }
 
@@ -397,7 +408,7 @@
 
 // setSilent records whether the worker answers; a silent worker gets no new tasks.
 func (s *session) setSilent(silent bool, err error) {
-	s.silent = silent
+	s.silent, s.probePause = silent, minProbePause
 	s.o.updateWorker(s)
 	if silent {
 		s.o.lead.Log.Emit(event.WorkerSilent).Str("worker", s.entry.ID).AnErr("error", err).Int64("epoch", s.o.epoch).Send()
--- a/internal/leader/workers_test.go
+++ b/internal/leader/workers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"greengageline/internal/orders"
 )
@@ -74,6 +76,41 @@
 	}
 }
 
+// Guards against a worker that is never used again once its runs were given up, because nothing asks whether it
+// answers.
+func TestSilentWorkerIsUsedAgain(t *testing.T) {
+	for name, silent := range map[string]time.Duration{"for 12 s": 12 * time.Second, "for a minute": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, _, stop := startSimulation(2, 1)
+				defer stop()
+				sim.setRunTime(3 * time.Second)
+				sim.submit("a", "bulk", oneGPU(16))
+				time.Sleep(500 * time.Millisecond)
+				is.Equal(sim.running(), 16)
+				from := sim.now()
+				m := sim.worker("w0")
+				m.unreachable.set(func(string) bool { return sim.now()-from < silent })
+				sim.awaitCompleted(t, []string{"a"}, completionLimit)
+				time.Sleep(max(0, from+silent+maxProbePause+time.Second-sim.now()))
+				m.runTime.set(10 * time.Second)
+				sim.submit("b", "bulk", oneGPU(16)) // needs both workers
+				time.Sleep(time.Second)
+				is.Equal(sim.startsOf("b"), 16)
+				is.Equal(sim.violations, nil)
+			})
+		})
+	}
+}
+
+// startsOf counts the starts of a job's tasks.
+func (sim *simulation) startsOf(job string) int {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return lo.CountBy(sim.starts, func(task string) bool { return strings.HasPrefix(task, job+".") })
+}
+
 // Guards against leases that end because one hold went over a dead connection: the next one must be in time.
 func TestHoldWaitLeavesTimeForAnotherHold(t *testing.T) {
 	for name, c := range map[string]struct{ lease, want time.Duration }{
