leader, sched: let new workers answer before they get work

Cause: an entry in the form of a worker was used at once. If nobody is behind it, tasks wait there until their leases have ended, or go back and forth, and its room counts in the use of its pool.

Ruled out: asking all workers when an owner begins; thousands of holds at that moment would delay urgent work.

Change: a worker that joins while there is an owner has to answer a hold first, at most 50 of which are sent in a tick. Workers that have not answered come last, and count for nothing while silent. A start that reaches nobody, or another worker, ends the use of the worker until it answers, and waiting starts go elsewhere at once.

--- /dev/null
+++ b/internal/leader/entries_test.go
@@ -0,0 +1,84 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"greengageline/pkg/model"
+)
+
+// strangers are the ways in which an entry that no worker stands behind answers orders.
+var strangers = map[string]func(m *fakeWorker){
+	"nobody answers":         func(m *fakeWorker) { m.unreachable.set(func(string) bool { return true }) },
+	"nobody listens":         func(m *fakeWorker) { m.crashed.set(true) },
+	"another worker answers": func(m *fakeWorker) { m.replaced.set(true) },
+	"connections are closed": func(m *fakeWorker) { m.resets.set(func() bool { return true }) },
+}
+
+// addStrangers adds n entries with the largest room that an entry may give, in the pool and rack of the real workers.
+func (sim *simulation) addStrangers(n int, answer func(m *fakeWorker)) {
+	sim.workersMu.Lock()
+	defer sim.workersMu.Unlock()
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	for i := range n {
+		id := fmt.Sprintf("a-stranger-%d", i)
+		sim.addWorker(id, 1, time.Second)
+		sim.workers[id].room = model.Room{Millicores: model.MaxMillicores, MemoryMB: model.MaxMemoryMB, Accelerators: model.MaxAccelerators}
+		answer(sim.workers[id])
+	}
+}
+
+// Guards against work that waits, or is not counted against its pool, because an entry that no worker stands behind
+// lies among those of the workers.
+func TestWorkIsServedBesideStrangers(t *testing.T) {
+	for _, n := range []int{1, 5} {
+		for name, answer := range strangers {
+			for when, early := range map[string]bool{"from the start": true, "later": false} {
+				t.Run(fmt.Sprintf("%d/%s/%s", n, name, when), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { serveBesideStrangers(t, n, answer, early) })
+				})
+			}
+		}
+	}
+}
+
+func serveBesideStrangers(t *testing.T, n int, answer func(m *fakeWorker), early bool) {
+	t.Helper()
+	is := is.New(t)
+	sim, nodes, stop := startSimulation(4, 2)
+	defer stop()
+	if early {
+		sim.addStrangers(n, answer)
+		ownerOf(nodes).kill() // the next owner knows nobody yet
+		time.Sleep(3 * time.Second)
+	}
+	sim.submit("warm", "bulk", oneGPU(24))
+	sim.awaitCompleted(t, []string{"warm"}, completionLimit)
+	if !early {
+		sim.addStrangers(n, answer)
+		time.Sleep(time.Second)
+	}
+	sim.setRunTime(3 * time.Second)
+	var ids []string
+	from := sim.now()
+	for i := range 8 { // twice as much as there is room for
+		ids = append(ids, fmt.Sprintf("j%d", i))
+		sim.submit(ids[i], "bulk", oneGPU(8))
+	}
+	time.Sleep(time.Second)
+	sim.submit("urgent", "urgent", gang(2))
+	sim.awaitCompleted(t, []string{"urgent"}, completionLimit)
+	if took := sim.now() - from - time.Second; took > 3500*time.Millisecond {
+		t.Errorf("urgent work took %s", took) // 3 s, and a stop of what ran there
+	}
+	sim.awaitCompleted(t, ids, completionLimit)
+	if took := sim.now() - from; took > 9500*time.Millisecond {
+		t.Errorf("all took %s", took) // three rounds of 3 s
+	}
+	is.Equal(sim.violations, nil)
+}
--- a/internal/leader/lost.go
+++ b/internal/leader/lost.go
@@ -78,6 +78,10 @@
 // noteAnswer records that the worker has answered.
 func (s *session) noteAnswer(at time.Duration) {
 	s.answeredAt, s.outOfTouch, s.disconnected = at, false, false
+	if !s.proven && !s.closed {
+		s.proven = true
+		s.o.updateWorker(s)
+	}
 }
 
 // knownFor returns for how long the worker had a run until it ended: 0 if it never confirmed the run. It is
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -88,6 +88,8 @@
 	purging     bool          // rows of ended jobs are being removed
 	planVersion uint64        // the version of the plan in force; 0 means none yet
 	waves       waveState
+	listed      bool          // the workers' entries have been read
+	probesLeft  int           // holds that may still be sent to silent workers in this tick
 	listOK      bool          // the workers' entries could be read last time
 	listOKSince time.Duration // when the entries became readable again
 	rebuilt     atomic.Bool   // the stored state has been read; any goroutine may read it
@@ -237,6 +239,7 @@
 		o.planVersion = p.Version
 		o.engine.SetPlan(p)
 	}
+	o.probesLeft = maxProbesPerTick
 	for _, s := range o.sessions {
 		s.checkLeases()
 	}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -28,6 +28,8 @@
 	// one that fails.
 	minProbePause = 500 * time.Millisecond
 	maxProbePause = 4 * time.Second
+	// maxProbesPerTick bounds these holds in one tick: many workers may join or fall silent at once.
+	maxProbesPerTick = 50
 	// maxOwnDelay is how long a worker's missing answers may be put down to this node's own link or processor:
 	// twice the longest hold.
 	maxOwnDelay = 2 * (maxHoldWait + maxOrderTimeout)
@@ -63,6 +65,8 @@
 	seenEnd, coveredEnd, durableEnd int64
 	silent                          bool
 	probePause                      time.Duration // time until the next hold to the silent worker, if nothing runs there
+	proven                          bool          // the worker has answered this owner
+	reported                        bool          // that it has never answered has been logged
 	lastHoldAt                      time.Duration // when the last hold was sent
 	answeredAt                      time.Duration // when the worker last answered a hold or a start
 	// outOfTouch is set from the first call that failed since then; disconnected says that the worker closed
@@ -136,8 +140,9 @@
 		return
 	}
 	// Nothing else would show that a silent worker answers again, since it gets no new work.
-	if s.silent && s.holdsInFlight == 0 && s.entry.Addr != "" && now-s.lastHoldAt >= s.probePause {
-		s.probePause = min(2*s.probePause, maxProbePause)
+	if s.silent && s.holdsInFlight == 0 && s.entry.Addr != "" && now-s.lastHoldAt >= s.probePause && s.o.probesLeft > 0 {
+		s.o.probesLeft--
+		s.probePause = min(max(minProbePause, 2*s.probePause), maxProbePause)
 		s.sendHold(0)
 	}
 }
@@ -393,8 +398,12 @@
 	// While this node's own link or processor is full, a late answer says nothing about the worker.
 	now := o.lead.now()
 	ownDelay := o.starts.congested(now) && errors.Is(err, orders.ErrOutcomeUnknown) && now-s.answeredAt < maxOwnDelay
-	if !s.silent && !ownDelay {
+	switch {
+	case !s.silent && !ownDelay:
 		s.setSilent(true, err)
+	case s.silent && !s.proven && !s.reported:
+		s.reported = true
+		o.lead.Log.Emit(event.WorkerSilent).Str("worker", s.entry.ID).Bool("answered_before", false).AnErr("error", err).Int64("epoch", o.epoch).Send()
 	}
 	time.AfterFunc(holdRetryPause, func() { s.o.post(s.holdIfDue) })
 }
@@ -408,6 +417,9 @@
 
 // setSilent records whether the worker answers; a silent worker gets no new tasks.
 func (s *session) setSilent(silent bool, err error) {
+	if silent && s.silent {
+		return
+	}
 	s.silent, s.probePause = silent, minProbePause
 	s.o.updateWorker(s)
 	if silent {
@@ -421,7 +433,7 @@
 // updateWorker tells the scheduler the worker's present state.
 func (o *Owner) updateWorker(s *session) {
 	w := s.entry.Worker
-	w.Silent = s.silent || s.entry.Addr == ""
+	w.Silent, w.Unproven = s.silent || s.entry.Addr == "", !s.proven
 	closed := o.waves.closedWorkers[s.entry.ID]
 	w.Leaving = w.Leaving || !s.listed || closed == goingDown
 	w.Draining = closed == draining
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -40,7 +40,7 @@
 		return
 	}
 	j := o.engine.Job(order.Task.Job)
-	if s == nil || s.closed || j == nil || !j.Open() || !o.mayStart() || o.engine.Stopping(order.Task) {
+	if s == nil || s.closed || s.silent || j == nil || !j.Open() || !o.mayStart() || o.engine.Stopping(order.Task) {
 		o.engine.End(order.Task, order.Run, sched.Refused, "", o.moment())
 		o.passDue = true
 		return
@@ -149,6 +149,9 @@
 		o.engine.RejectTicket(in.Task, in.Run, o.moment())
 		o.passDue = true
 	case orders.HadNoEffect(err):
+		if errors.Is(err, orders.ErrOtherIncarnation) || errors.Is(err, orders.ErrNotSent) && !s.proven {
+			s.setSilent(true, err) // until it answers
+		}
 		o.engine.Reject(in.Task, in.Run, o.moment())
 		o.passDue = true
 	default:
--- a/internal/leader/workers.go
+++ b/internal/leader/workers.go
@@ -56,6 +56,7 @@
 		listed[e.ID] = true
 		o.applyEntry(e, now)
 	}
+	o.listed = true
 	if now-o.listOKSince < missingEntryGrace {
 		return
 	}
@@ -72,6 +73,9 @@
 func (o *Owner) applyEntry(e orders.Entry, now time.Duration) {
 	s := o.session(e)
 	known := s.listed
+	if o.listed && !known && !s.proven {
+		s.silent = true // there may be no worker behind a new entry: it has to answer first
+	}
 	if known && !s.entry.Leaving && e.Leaving {
 		o.lead.Log.Emit(event.WorkerLeaving).Str("worker", e.ID).Str("reason", "its entry is marked as leaving").Send()
 	}
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -88,7 +88,7 @@
 	}
 	var used, total model.Room
 	for _, w := range e.sortedWorkers {
-		if w.Pool == pool {
+		if w.Pool == pool && w.exists() {
 			used, total = used.Plus(w.used, 1), total.Plus(w.Room, 1)
 		}
 	}
@@ -109,7 +109,7 @@
 	}
 	total := 0
 	for _, w := range e.sortedWorkers {
-		if w.Pool == pool {
+		if w.Pool == pool && w.exists() {
 			total += w.Room.Accelerators
 		}
 	}
@@ -432,14 +432,14 @@
 }
 
 // assign returns a worker from ws for each waiting task of the group, or nil if not all tasks fit.
-// Workers without recent failures come first, and of those the fullest; room returns the capacity that
+// Workers that have answered and have no recent failures come first, and of those the fullest; room returns the capacity that
 // may be used on a worker.
 func assign(g *group, ws []*worker, room func(*worker) model.Room) []*worker {
 	type candidate struct {
 		w       *worker
 		n       int
 		freeSum float64
-		failing bool
+		doubted bool
 	}
 	need := g.step.Need()
 	candidates := make([]candidate, 0, len(ws))
@@ -448,7 +448,7 @@
 		r := room(w)
 		n := r.Times(need, g.quota(w))
 		if n > 0 {
-			candidates = append(candidates, candidate{w, n, freeFractions(r, w.Room), w.failureStreak > 0})
+			candidates = append(candidates, candidate{w, n, freeFractions(r, w.Room), w.failureStreak > 0 || w.Unproven})
 			total += n
 		}
 	}
@@ -456,8 +456,8 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		if a.failing != b.failing {
-			if a.failing {
+		if a.doubted != b.doubted {
+			if a.doubted {
 				return 1
 			}
 			return -1
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -191,6 +191,9 @@
 	Draining bool
 	// Silent is set while the worker does not answer; it then gets no new work.
 	Silent bool
+	// Unproven is set until the worker has answered once. There may be no worker behind its entry, so others come
+	// first, and while it is silent its room counts for nothing.
+	Unproven bool
 }
 
 // worker is the engine's state of a worker: its description, the capacity used by placed tasks, the
@@ -222,6 +225,9 @@
 // for runs to stop.
 func (w *worker) free() model.Room { return w.Room.Minus(w.used, 1).Minus(w.reserved, 1) }
 
+// exists reports whether the room of the worker counts as room of its pool.
+func (w *worker) exists() bool { return !w.Unproven || !w.Silent }
+
 // schedulable reports whether the worker may get new work.
 func (w *worker) schedulable(now Moment) bool { return !w.Draining && w.responsive(now) }
 
