leader: bound the orders to a worker and queue its stops

What callers saw: hundreds of the 2,000 tasks of a cancelled job ran on for 5 s.

Cause: stops were sent all at once, and each answer asked for a hold at once.

Evidence: 6,488 task-stopped lines for 2,000 runs within 5.2 s, and worker-silent with "no free connections" in one run of the case on the code before.

Ruled out: a slow decision, and workers that are slow to stop.

Change: at most 6 starts, 8 stops and 2 holds are in flight to a worker, as many as it has connections. Stops wait in a queue, once each, until they are answered or no longer needed. The holds that follow are shared over 50 ms.

Conclusion: fixed.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/orders"
 	"greengageline/internal/sched"
@@ -33,8 +32,11 @@
 	// maxOwnDelay is how long a worker's missing answers may be put down to this node's own link or processor:
 	// twice the longest hold.
 	maxOwnDelay = 2 * (maxHoldWait + maxOrderTimeout)
-	// maxStartsInFlight bounds the starts in flight to one worker, whose connections all nodes share.
+	// maxStartsInFlight, maxStopsInFlight and maxHoldsInFlight bound the orders in flight to one worker, whose connections
+	// all nodes share. Together they are orders.MaxInFlight, so that none fails for want of a connection.
 	maxStartsInFlight = 6
+	maxStopsInFlight  = 8
+	maxHoldsInFlight  = orders.MaxInFlight - maxStartsInFlight - maxStopsInFlight
 )
 
 // session is the owner's state about one worker. It polls the worker with holds: a hold renews the leases
@@ -75,8 +77,15 @@
 	holdsInFlight            int
 	// ackedEnd is the highest end whose acknowledgement the worker has answered.
 	ackedEnd int64
-	// lastStopAt is when the stop of a run was last ordered.
-	lastStopAt map[sched.TaskRef]time.Duration
+	// lastStopAt is when the stop of a run was last ordered. stops has the stops to send in order, pendingStops all
+	// that are queued, in flight or to be repeated.
+	lastStopAt    map[sched.TaskRef]time.Duration
+	stops         []*pendingStop
+	pendingStops  map[stopKey]bool
+	stopsInFlight int
+	// holdDue is set while a hold is due that must be sent after what has been answered so far, holdTimed while it waits
+	// for holdSpacing.
+	holdDue, holdTimed bool
 	// startsInFlight has the run of each start in flight, unconfirmedStarts the starts that got no answer.
 	startsInFlight    map[sched.TaskRef]int64
 	unconfirmedStarts map[sched.TaskRef]startOutcome
@@ -92,7 +101,7 @@
 			o: o, entry: e,
 			lastStopAt:     map[sched.TaskRef]time.Duration{},
 			startsInFlight: map[sched.TaskRef]int64{}, unconfirmedStarts: map[sched.TaskRef]startOutcome{},
-			lostRuns: map[sched.TaskRef]lostRun{},
+			lostRuns: map[sched.TaskRef]lostRun{}, pendingStops: map[stopKey]bool{},
 		}
 		o.sessions[e.ID] = s
 	}
@@ -154,6 +163,7 @@
 // close ends the session; the scheduler forgets the worker.
 func (s *session) close() {
 	s.closed = true
+	s.dropStops()
 	delete(s.o.sessions, s.entry.ID)
 	s.o.engine.DropWorker(s.entry.ID, s.o.moment())
 	if s.o.lead.Fleet.Forget != nil && s.entry.Addr != "" {
@@ -203,6 +213,7 @@
 		s.leaseUntil = max(s.leaseUntil, sent+o.maxRunLife())
 	}
 	s.holdsInFlight++
+	s.holdDue = false
 	e, timeout, to := s.entry, in.Wait+max(holdSlack, o.starts.timeout()), s.incarnation
 	o.spawn(func() {
 		if !o.mayOrder() {
@@ -264,6 +275,11 @@
 	if s.closed {
 		return
 	}
+	defer func() {
+		if !s.holdTimed {
+			s.sendDueHold()
+		}
+	}()
 	if err != nil {
 		s.handleHoldFailure(err)
 		return
@@ -285,17 +301,37 @@
 		s.ackedEnd = max(s.ackedEnd, in.Acked)
 	}
 	s.recordClock(out.ClockMs, now.Steady)
+	s.applyRuns(sent, in, out, now)
+	s.adopted = false
+	if len(out.Ended) > 0 {
+		o.passDue = true
+	}
+	// A worker answers at once while it lists ends that are not acknowledged, so the next hold waits until
+	// they are durable. checkLeases extends the leases if that takes long.
+	if s.holdsInFlight > 0 {
+		return
+	}
+	switch {
+	case wasSilent && s.needsHold():
+		s.sendHold(0) // extends the leases, which the last hold did not
+	case s.seenEnd == s.durableEnd && s.needsHold():
+		s.sendHold(s.o.holdWait())
+	}
+}
+
+// applyRuns applies the lists of runs in the answer to the hold in, which was sent at sent.
+func (s *session) applyRuns(sent time.Duration, in orders.Hold, out orders.HoldReply, now sched.Moment) {
 	listed := map[sched.TaskRef]int64{}
 	for _, r := range out.Running {
 		listed[r.Task] = r.Run
-		o.engine.Confirm(r.Task, r.Run, r.Percent, r.Checkpoint, now)
+		s.o.engine.Confirm(r.Task, r.Run, r.Percent, r.Checkpoint, now)
 		if s.unconfirmedStarts[r.Task].run == r.Run {
 			delete(s.unconfirmedStarts, r.Task)
-			o.confirmedRuns[r.Task] = startOutcome{run: r.Run, at: sent, incarnation: s.incarnation}
+			s.o.confirmedRuns[r.Task] = startOutcome{run: r.Run, at: sent, incarnation: s.incarnation}
 		}
-		if c := o.confirmedRuns[r.Task]; c.run == r.Run && c.incarnation != s.incarnation {
+		if c := s.o.confirmedRuns[r.Task]; c.run == r.Run && c.incarnation != s.incarnation {
 			c.incarnation = s.incarnation
-			o.confirmedRuns[r.Task] = c
+			s.o.confirmedRuns[r.Task] = c
 		}
 		s.stopUnknownRun(r)
 	}
@@ -308,21 +344,6 @@
 		s.loseUnlistedRuns(sent, in, listed, now)
 		s.stopUnconfirmedStarts(sent)
 	}
-	s.adopted = false
-	if len(out.Ended) > 0 {
-		o.passDue = true
-	}
-	// A worker answers at once while it lists ends that are not acknowledged, so the next hold waits until
-	// they are durable. checkLeases extends the leases if that takes long.
-	if s.holdsInFlight > 0 {
-		return
-	}
-	switch {
-	case wasSilent && s.needsHold():
-		s.sendHold(0) // extends the leases, which the last hold did not
-	case s.seenEnd == s.durableEnd && s.needsHold():
-		s.sendHold(s.o.holdWait())
-	}
 }
 
 // stopRepeatAge is how long after a stop was sent the run may still be listed: longer than the stop takes
@@ -439,70 +460,3 @@
 	w.Draining = closed == draining
 	o.engine.SetWorker(w)
 }
-
-// sendStop sends a stop of a run until the worker answers, at most stopTries times in a row.
-func (o *Owner) sendStop(order sched.Order) {
-	s := o.sessions[order.Worker]
-	if s == nil || s.closed || s.entry.Addr == "" {
-		return
-	}
-	e, timeout := s.entry, o.starts.timeout()
-	s.lastStopAt[order.Task] = o.lead.now()
-	line := o.lead.Log.Emit(event.TaskStopped).Str("task", order.Task.String()).Int64("run", order.Run).Str("worker", order.Worker).
-		Str("reason", order.Reason).Int64("epoch", o.epoch)
-	if order.Queue != "" {
-		line = line.Str("queue", order.Queue).Int("priority", order.Priority).Int64("ran_ms", (o.lead.now() - order.PlacedAt).Milliseconds())
-	}
-	line.Send()
-	o.spawn(func() {
-		for range stopTries {
-			if !o.mayOrder() {
-				return
-			}
-			ctx, cancel := context.WithTimeout(o.ctx, timeout)
-			err := o.lead.Fleet.Stop(ctx, e, order.Task, order.Run, o.epoch)
-			cancel()
-			at := o.lead.now()
-			o.post(func() {
-				o.lead.Metrics.orderSent("stop", err)
-				if err != nil {
-					s.noteUncertain()
-				}
-			})
-			if err == nil {
-				o.post(func() { s.handleStop(order, at) })
-				return
-			}
-			if errors.Is(err, orders.ErrFenced) || errors.Is(err, orders.ErrOtherIncarnation) {
-				return
-			}
-			clock.Sleep(o.ctx, holdRetryPause)
-		}
-		o.post(func() { s.retryStop(order) })
-	})
-}
-
-// stopTries is how often a stop is sent in a row before retryStop checks whether it is still needed.
-const stopTries = 4
-
-// retryStop sends an unanswered stop again, as long as the run may be at the worker.
-func (s *session) retryStop(order sched.Order) {
-	run, worker, placed := s.o.engine.CurrentRun(order.Task)
-	if placed && run == order.Run && worker == order.Worker && !s.closed {
-		s.o.sendStop(order)
-	}
-}
-
-// handleStop handles the answer to a stop: the run ends or never begins, and the next hold tells which.
-func (s *session) handleStop(order sched.Order, at time.Duration) {
-	o := s.o
-	incarnation := o.confirmedRuns[order.Task].incarnation
-	if u := s.unconfirmedStarts[order.Task]; u.run == order.Run {
-		incarnation = u.incarnation
-		delete(s.unconfirmedStarts, order.Task)
-	}
-	if run, worker, placed := o.engine.CurrentRun(order.Task); placed && run == order.Run && worker == s.entry.ID {
-		o.confirmedRuns[order.Task] = startOutcome{run: order.Run, at: at, incarnation: incarnation}
-		s.sendHold(0)
-	}
-}
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -160,6 +160,6 @@
 		s.noteUncertain()
 		s.noteFailure(err)
 		s.unconfirmedStarts[in.Task] = startOutcome{run: in.Run, at: at, incarnation: to}
-		s.sendHold(0)
+		s.requestHold()
 	}
 }
--- /dev/null
+++ b/internal/leader/stops_test.go
@@ -0,0 +1,83 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"greengageline/pkg/model"
+)
+
+// fineTasks returns a step of tasks of which a worker holds two thousand.
+func fineTasks(n int) model.Step {
+	return model.Step{Tasks: n, Each: model.Room{Millicores: 30, MemoryMB: 64}, EstimateMs: 60_000}
+}
+
+// Guards against runs that go on after their job's cancel because the stops find no connection to their worker
+// (UNASKED), or because the holds beside them find none and the worker counts as silent.
+func TestManyStopsAreInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		workers, jobs, tasks int
+		during               func(sim *simulation, nodes []*testNode)
+		limit                time.Duration // beyond cancelLimit and killGrace
+	}{
+		"20 on one worker":     {workers: 1, jobs: 1, tasks: 20},
+		"1,000 on one worker":  {workers: 1, jobs: 1, tasks: 1000},
+		"2,000 on one worker":  {workers: 1, jobs: 2, tasks: 1000},
+		"4,000 on two workers": {workers: 2, jobs: 4, tasks: 1000},
+		"2,000 on one worker, some answers are lost": {workers: 1, jobs: 2, tasks: 1000, during: func(sim *simulation, _ []*testNode) {
+			var n atomic.Int64
+			sim.worker("w0").resets.set(func() bool { return n.Add(1)%40 == 0 })
+		}},
+		"1,000 on one worker, it is silent for 1 s": {workers: 1, jobs: 1, tasks: 1000, limit: time.Second, during: func(sim *simulation, _ []*testNode) {
+			from := sim.now()
+			sim.worker("w0").unreachable.set(func(string) bool { return sim.now()-from < time.Second })
+		}},
+		"2,000 on one worker, owner leaves": {workers: 1, jobs: 2, tasks: 1000, limit: 2 * time.Second, during: func(_ *simulation, nodes []*testNode) {
+			time.Sleep(100 * time.Millisecond)
+			ownerOf(nodes).Resign(context.Background())
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, nodes, stop := startSimulation(c.workers, 2)
+				defer stop()
+				sim.setRunTime(time.Minute)
+				for i := range c.jobs {
+					sim.submit(fmt.Sprintf("j%d", i), "bulk", fineTasks(c.tasks))
+				}
+				for from := sim.now(); sim.running() < c.jobs*c.tasks; time.Sleep(10 * time.Millisecond) {
+					if sim.now()-from > 30*time.Second {
+						t.Fatalf("only %d tasks have started", sim.running())
+					}
+				}
+				for i := range c.jobs {
+					sim.cancel(fmt.Sprintf("j%d", i))
+				}
+				from := sim.now()
+				if c.during != nil {
+					c.during(sim, nodes)
+				}
+				for sim.running() > 0 {
+					if sim.now()-from > cancelLimit+killGrace+c.limit {
+						t.Fatalf("%d tasks run %s after the cancel", sim.running(), sim.now()-from)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("all have stopped after %s", sim.now()-from)
+				for id, m := range sim.workers {
+					if m.refusedOrders > 0 {
+						t.Errorf("%d orders to %s found no connection", m.refusedOrders, id)
+					}
+				}
+				is.Equal(sim.violations, nil)
+			})
+		})
+	}
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -113,6 +113,10 @@
 	ValidFor time.Duration
 }
 
+// MaxInFlight is how many orders the owner has in flight to one worker at most; an implementation of Fleet must be
+// able to carry so many at a time.
+const MaxInFlight = 16
+
 // Fleet is the interface to the workers. Errors wrap one of the package's errors.
 type Fleet struct {
 	// List reads the entries of all workers; entries that can't be parsed are left out.
