model: bound the numbers of a job

One that no row of the store holds was answered 503 each time.

Ruled out: the number of steps and tasks, which were bounded before.

Change: Work.Check bounds all numbers, and a job that takes more than 48 KiB is refused as invalid.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -484,6 +485,22 @@
 	}
 }
 
+// Guards against a job that no row of the store holds: each write would be refused, and its caller would come again.
+func TestJobTooLargeForRowIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := startPair(t)
+		for name, size := range map[string]int{"small": 4000, "too large": maxWorkBytes} {
+			c := call(Submit, strings.ReplaceAll(name, " ", "-"))
+			c.Work.Payload = strings.Repeat("x", size)
+			from := time.Now()
+			_, err := p.edge.Serve(context.Background(), c)
+			is.Equal(errors.Is(err, model.ErrInvalid), size >= maxWorkBytes)
+			is.True(time.Since(from) < 100*time.Millisecond)
+		}
+	})
+}
+
 func TestStaleNodeRefusesRevokedKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -60,6 +60,8 @@
 	writeRetryDelay = 30 * time.Millisecond
 	// replyMargin is the part of the caller's time that is kept for sending the reply.
 	replyMargin = 100 * time.Millisecond
+	// maxWorkBytes limits a job as it is stored: a row of the store holds 64 KiB in base64.
+	maxWorkBytes = 48 << 10
 	// storeReadTimeout limits a read of the store.
 	storeReadTimeout = 1500 * time.Millisecond
 )
@@ -80,6 +82,9 @@
 	if err != nil {
 		return fmt.Errorf("encode work %s: %w", w.ID, err)
 	}
+	if len(value) > maxWorkBytes {
+		return fmt.Errorf("%w: the job takes %d bytes, want at most %d", model.ErrInvalid, len(value), maxWorkBytes)
+	}
 	row := rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(w.ID), Key: w.ID, Value: value}
 	started := n.now()
 	repeated, err := n.commitIfAbsent(ctx, row)
--- a/pkg/model/work.go
+++ b/pkg/model/work.go
@@ -1,5 +1,7 @@
 package model
 
+import "fmt"
+
 // Room is an amount of each resource, either offered by a worker or needed by a task.
 type Room struct {
 	Millicores   int `json:"millicores,omitempty"`
@@ -70,9 +72,12 @@
 	MaxSteps = 100
 	// MaxStepTasks is the maximum number of tasks in one step.
 	MaxStepTasks = 1000
-	// MaxWorkTasks is the maximum number of tasks in all steps and repetitions of one Work. A
-	// record of that many tasks fits into one row of the store.
+	// MaxWorkTasks is the maximum number of tasks in all steps and repetitions of one Work.
 	MaxWorkTasks = 10_000
+	// MaxUnixMs is the latest time of day that is accepted, some 8,000 years from now, in Unix milliseconds.
+	MaxUnixMs = 1 << 48
+	// MaxDurationMs is the longest duration that is accepted, a year, in milliseconds.
+	MaxDurationMs = 366 * 24 * 3600 * 1000
 )
 
 // Step is a group of identical tasks of a Work.
@@ -146,6 +151,12 @@
 	if w.Repeats < 0 || w.EveryMs < 0 {
 		return invalid("repeats", "is negative")
 	}
+	if w.EveryMs > MaxDurationMs {
+		return invalid("every_ms", "is %d, want at most %d", w.EveryMs, MaxDurationMs)
+	}
+	if w.FirstMs < 0 || w.FirstMs > MaxUnixMs {
+		return invalid("first_ms", "is %d, want 0 to %d", w.FirstMs, MaxUnixMs)
+	}
 	tasks := 0
 	for i := range w.Steps {
 		if err := w.Steps[i].check(i); err != nil {
@@ -163,8 +174,14 @@
 	if s.Tasks < 1 || s.Tasks > MaxStepTasks {
 		return invalid("steps.tasks", "is %d, want 1 to %d", s.Tasks, MaxStepTasks)
 	}
-	if s.Each.Millicores < 0 || s.Each.MemoryMB < 0 || s.Each.Accelerators < 0 {
-		return invalid("steps.each", "is negative")
+	if err := s.Each.Check(); err != nil {
+		return fmt.Errorf("steps.each: %w", err)
+	}
+	if s.EstimateMs < 0 || s.EstimateMs > MaxDurationMs || s.TargetMs < 0 || s.TargetMs > MaxDurationMs {
+		return invalid("steps", "has an estimate of %d ms and a target of %d ms, want 0 to %d", s.EstimateMs, s.TargetMs, MaxDurationMs)
+	}
+	if s.PerWorker < 0 || s.MayMiss < 0 {
+		return invalid("steps", "has a negative bound of tasks")
 	}
 	for _, a := range s.After {
 		if a < 0 || a >= index {
