sched: store records without checkpoints if they don't fit into a row

Cause: nothing compared a job's record with the size of a row. The review saw a job of 6,000 tasks with random checkpoints whose record the store refused, and with it each transaction; the ownership changed about once a second.

Evidence: such records have 79,601 and 91,532 bytes; a row holds 65,536.

Ruled out: a limit on tasks, as 10,000 placed tasks without checkpoints fit (47,293 bytes on 1,100 workers).

Change: a record that is too large is stored without the checkpoints of placed tasks, then without all; record-trimmed tells of it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -88,6 +88,7 @@
 	TableDown      ID = 702
 	TableBack      ID = 703
 	StoreFailed    ID = 704
+	RecordTrimmed  ID = 706
 	RowCorrupt     ID = 705
 	WorkerLeaving  ID = 710
 	WorkerGone     ID = 711
@@ -169,6 +170,7 @@
 	{TableBack, "table-back", zerolog.InfoLevel, "The table answers again."},
 	{StoreFailed, "store-failed", zerolog.WarnLevel, "A call of the platform's store failed; the line names the call."},
 	{RowCorrupt, "row-corrupt", zerolog.ErrorLevel, "A row of the store could not be read and is left alone."},
+	{RecordTrimmed, "record-trimmed", zerolog.WarnLevel, "The state of a job is too large for a row of the store; its tasks' checkpoints were left out."},
 	{WorkerLeaving, "worker-leaving", zerolog.InfoLevel, "A worker gets nothing new; the line says who told."},
 	{WorkerGone, "worker-gone", zerolog.WarnLevel, "A worker is taken as lost."},
 	{WorkerBack, "worker-back", zerolog.InfoLevel, "A worker joined or came back."},
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -83,7 +83,10 @@
 			continue
 		}
 		record := j.Record()
-		value, err := record.Encode()
+		value, trimmed, err := record.EncodeForRow()
+		if trimmed {
+			o.lead.Log.Emit(event.RecordTrimmed).Str("job", id).Int("bytes", len(value)).Int64("epoch", o.epoch).Send()
+		}
 		if err != nil {
 			o.lead.Log.Emit(event.RowCorrupt).Str("table", RecordTable).Str("key", id).Err(err).Send()
 			delete(o.dirtyJobs, id)
--- a/internal/sched/record.go
+++ b/internal/sched/record.go
@@ -105,11 +105,42 @@
 	// maxPlainRecord is the size in bytes up to which a record is stored as plain JSON. Longer ones are
 	// compressed, so that each fits into one row of the store.
 	maxPlainRecord = 16 << 10
+	// maxRecord is the size in bytes of the largest record that a row of the store holds, in base64.
+	maxRecord = 48 << 10
 	// gzipMagic is the first byte of a compressed record; JSON never begins with it.
 	gzipMagic = 0x1f
 )
 
-// Encode returns the record as it is stored.
+// EncodeForRow returns the record as it is stored. If it is too large for a row it leaves out checkpoints: first those
+// of placed tasks, which their workers report again, then all. trimmed says whether it did. A row that does not fit
+// would keep every other job from being stored.
+func (r *Record) EncodeForRow() (data []byte, trimmed bool, err error) {
+	data, err = r.Encode()
+	for _, ofWaiting := range []bool{false, true} {
+		if err != nil || len(data) <= maxRecord {
+			return data, trimmed, err
+		}
+		trimmed = true
+		r.dropCheckpoints(ofWaiting)
+		data, err = r.Encode()
+	}
+	return data, trimmed, err
+}
+
+// dropCheckpoints leaves out the checkpoints of placed tasks, and those of waiting ones too if ofWaiting is set.
+func (r *Record) dropCheckpoints(ofWaiting bool) {
+	for _, steps := range r.Batches {
+		for s := range steps {
+			for i := range steps[s].Tasks {
+				if t := &steps[s].Tasks[i]; ofWaiting || t.Phase == Placed {
+					t.Checkpoint = ""
+				}
+			}
+		}
+	}
+}
+
+// Encode returns the record as it is stored, whatever its size.
 func (r *Record) Encode() ([]byte, error) {
 	data, err := json.Marshal(r)
 	if err != nil || len(data) <= maxPlainRecord {
