--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -69,12 +69,29 @@
 func (o *Owner) buildTxn() *pendingTxn {
 	t := &pendingTxn{row: o.row, finals: map[string]sched.State{}, ackedEnds: map[*session]endMark{}}
 	t.row.N++
+	o.addWaveRows(t)
+	o.addRecords(t)
+	o.addStarts(t)
+	if len(o.dirtyJobs) == 0 {
+		for _, s := range o.sessions {
+			if s.seenEnd > s.durableEnd {
+				t.ackedEnds[s], s.coveredEnd = endMark{s.incarnation, s.seenEnd}, s.seenEnd
+			}
+		}
+		if n := min(len(o.pendingDeletes), maxTxnEntries-2-len(t.txn.Put)); n > 0 {
+			t.txn.Delete, o.pendingDeletes = o.pendingDeletes[:n:n], o.pendingDeletes[n:]
+		}
+	}
+	return t
+}
+
+// addRecords adds the changed records to the transaction, up to the store's limits.
+func (o *Owner) addRecords(t *pendingTxn) {
 	ids := make([]string, 0, len(o.dirtyJobs))
 	for id := range o.dirtyJobs {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	o.addWaveRows(t)
 	size := 0
 	for _, id := range ids {
 		j := o.engine.Job(id)
@@ -102,18 +119,6 @@
 		}
 		delete(o.dirtyJobs, id)
 	}
-	o.addStarts(t)
-	if len(o.dirtyJobs) == 0 {
-		for _, s := range o.sessions {
-			if s.seenEnd > s.durableEnd {
-				t.ackedEnds[s], s.coveredEnd = endMark{s.incarnation, s.seenEnd}, s.seenEnd
-			}
-		}
-		if n := min(len(o.pendingDeletes), maxTxnEntries-2-len(t.txn.Put)); n > 0 {
-			t.txn.Delete, o.pendingDeletes = o.pendingDeletes[:n:n], o.pendingDeletes[n:]
-		}
-	}
-	return t
 }
 
 // addStarts moves to the transaction the pending starts whose records it holds or that are durable already.
