leader: use the usual term for entries without a worker

The test spoke of strangers; the field speaks of phantom workers. Names only: TestWorkIsServedBesideStrangers is now TestWorkIsServedBesidePhantomWorkers.

--- a/internal/leader/entries_test.go
+++ b/internal/leader/entries_test.go
@@ -11,56 +11,56 @@
 	"greengageline/pkg/model"
 )
 
-// strangers are the ways in which an entry that no worker stands behind answers orders.
-var strangers = map[string]func(m *fakeWorker){
+// phantoms are the ways in which orders to an entry without a worker end.
+var phantoms = map[string]func(m *fakeWorker){
 	"nobody answers":         func(m *fakeWorker) { m.unreachable.set(func(string) bool { return true }) },
 	"nobody listens":         func(m *fakeWorker) { m.crashed.set(true) },
 	"another worker answers": func(m *fakeWorker) { m.replaced.set(true) },
 	"connections are closed": func(m *fakeWorker) { m.resets.set(func() bool { return true }) },
 }
 
-// addStrangers adds n entries with the largest room that an entry may give, in the pool and rack of the real workers.
-func (sim *simulation) addStrangers(n int, answer func(m *fakeWorker)) {
+// addPhantoms adds n entries with the largest room that an entry may give, in the pool and rack of the real workers.
+func (sim *simulation) addPhantoms(n int, answer func(m *fakeWorker)) {
 	sim.workersMu.Lock()
 	defer sim.workersMu.Unlock()
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	for i := range n {
-		id := fmt.Sprintf("a-stranger-%d", i)
+		id := fmt.Sprintf("a-phantom-%d", i)
 		sim.addWorker(id, 1, time.Second)
 		sim.workers[id].room = model.Room{Millicores: model.MaxMillicores, MemoryMB: model.MaxMemoryMB, Accelerators: model.MaxAccelerators}
 		answer(sim.workers[id])
 	}
 }
 
-// Guards against work that waits, or is not counted against its pool, because an entry that no worker stands behind
+// Guards against work that waits, or is not counted against its pool, because an entry without a worker
 // lies among those of the workers.
-func TestWorkIsServedBesideStrangers(t *testing.T) {
+func TestWorkIsServedBesidePhantomWorkers(t *testing.T) {
 	for _, n := range []int{1, 5} {
-		for name, answer := range strangers {
+		for name, answer := range phantoms {
 			for when, early := range map[string]bool{"from the start": true, "later": false} {
 				t.Run(fmt.Sprintf("%d/%s/%s", n, name, when), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) { serveBesideStrangers(t, n, answer, early) })
+					synctest.Test(t, func(t *testing.T) { serveBesidePhantoms(t, n, answer, early) })
 				})
 			}
 		}
 	}
 }
 
-func serveBesideStrangers(t *testing.T, n int, answer func(m *fakeWorker), early bool) {
+func serveBesidePhantoms(t *testing.T, n int, answer func(m *fakeWorker), early bool) {
 	t.Helper()
 	is := is.New(t)
 	sim, nodes, stop := startSimulation(4, 2)
 	defer stop()
 	if early {
-		sim.addStrangers(n, answer)
+		sim.addPhantoms(n, answer)
 		ownerOf(nodes).kill() // the next owner knows nobody yet
 		time.Sleep(3 * time.Second)
 	}
 	sim.submit("warm", "bulk", oneGPU(24))
 	sim.awaitCompleted(t, []string{"warm"}, completionLimit)
 	if !early {
-		sim.addStrangers(n, answer)
+		sim.addPhantoms(n, answer)
 		time.Sleep(time.Second)
 	}
 	sim.setRunTime(3 * time.Second)
