leader: fix two data races in tests

Cause: under the race detector a counter of an older test (TestOwnerIsReplacedSoonOnlyWhenTurnedAway) and a function that a new test (TestDrainingIsSeenOverDeadConnection) replaced while nodes ran were shared without a lock.

Ruled out: a race in the product; both reports name test files only.

Change: an atomic counter, and a fault of the simulation in place of the function. The checks are the same.

Conclusion: tests only.

--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -38,7 +38,9 @@
 	onStart      syncValue[func(m *fakeWorker, task sched.TaskRef)]
 	replacements int // workers that have taken the place of another
 	// beforePoll is called before a node polls another; its error fails the poll.
-	beforePoll  syncValue[func(ctx context.Context, from, to string) error]
+	beforePoll syncValue[func(ctx context.Context, from, to string) error]
+	// beforeList is called before the workers' entries are read; its error fails the read.
+	beforeList  syncValue[func(ctx context.Context) error]
 	nodesByAddr map[string]*testNode // guarded by mu
 	// adviser is nil if no queue needs one.
 	adviser syncValue[func(ctx context.Context, step sched.TaskRef, workers []string) (orders.Advice, error)]
@@ -108,6 +110,11 @@
 			if err := sim.store.admit(ctx, node, "list"); err != nil {
 				return nil, err
 			}
+			if beforeList := sim.beforeList.get(); beforeList != nil {
+				if err := beforeList(ctx); err != nil {
+					return nil, err
+				}
+			}
 			return sim.entries(), nil
 		},
 		Hold: func(ctx context.Context, e orders.Entry, in orders.Hold) (orders.HoldReply, error) {
--- a/internal/leader/take_test.go
+++ b/internal/leader/take_test.go
@@ -203,7 +203,7 @@
 				sim, nodes, stop := startSimulation(5, 3)
 				defer stop()
 				old := ownerOf(nodes)
-				calls := 0
+				var calls atomic.Int64
 				if tc.turnAway {
 					sim.store.refuse.set(func(node, _ string) error {
 						if node == old.Node {
@@ -212,7 +212,7 @@
 						return nil
 					})
 				} else {
-					sim.store.lose.set(func(string) bool { calls++; return calls%3 == 0 })
+					sim.store.lose.set(func(string) bool { return calls.Add(1)%3 == 0 })
 				}
 				from := sim.now()
 				replaced := func() bool {
--- a/internal/leader/workers_test.go
+++ b/internal/leader/workers_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/samber/lo"
 
-	"greengageline/internal/orders"
+	"greengageline/internal/rows"
 )
 
 // drainLimit is how long after its entry says that a worker drains it may still be told to start something, by the
@@ -24,19 +24,16 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				sim, nodes, stop := startSimulation(2, 1)
+				sim, _, stop := startSimulation(2, 1)
 				defer stop()
-				fleet := nodes[0].Fleet
-				list := fleet.List
-				var left atomic.Int64
-				fleet.List = func(ctx context.Context) ([]orders.Entry, error) {
-					if left.Add(-1) >= 0 {
-						<-ctx.Done()
-						return nil, orders.ErrOutcomeUnknown
+				var reads atomic.Int64
+				sim.beforeList.set(func(ctx context.Context) error {
+					if reads.Add(1) > dead {
+						return nil
 					}
-					return list(ctx)
-				}
-				left.Store(dead)
+					<-ctx.Done()
+					return rows.ErrOutcomeUnknown
+				})
 				m := sim.worker("w0")
 				m.leaving.set(true)
 				time.Sleep(drainLimit)
