rows: guard the random numbers of a test

Cause: under the race detector TestCommitKnownAppliesOnceWhenTransactionsAreLate draws random numbers from overlapping attempts without a lock. Change: a mutex; the checks are the same. Figures: go test -race ./internal/rows is clean now.

--- a/internal/rows/settle_test.go
+++ b/internal/rows/settle_test.go
@@ -177,9 +177,12 @@
 func TestCommitKnownAppliesOnceWhenTransactionsAreLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		var mu sync.Mutex // guards rnd, as attempts overlap
 		rnd := rand.New(rand.NewPCG(3, 1))
 		s := &slowStore{txnTime: 8 * time.Millisecond, readTime: 4 * time.Millisecond}
 		s.lose = func() (bool, time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
 			if rnd.Float64() > 0.35 {
 				return false, 0
 			}
