--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -56,8 +56,8 @@
 	o.spawn(func() { o.callStart(s, e, in, to, sentAt, timeout) })
 }
 
-// callStart calls the worker, as far as is known its incarnation to, to start a run. If the worker's clock is not known it first reads it with a
-// hold, to compute the lease.
+// callStart calls the worker to start a run; as far as is known its incarnation is to. If the worker's clock is not
+// known it first reads it with a hold, to compute the lease.
 func (o *Owner) callStart(s *session, e orders.Entry, in orders.Start, to int64, sentAt, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(o.ctx, timeout)
 	defer cancel()
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -432,8 +432,8 @@
 }
 
 // assign returns a worker from ws for each waiting task of the group, or nil if not all tasks fit.
-// Workers that have answered and have no recent failures come first, and of those the fullest; room returns the capacity that
-// may be used on a worker.
+// Workers that have answered and have no recent failures come first, and of those the fullest; room returns the
+// capacity that may be used on a worker.
 func assign(g *group, ws []*worker, room func(*worker) model.Room) []*worker {
 	type candidate struct {
 		w       *worker
