leader: give no orders after a release, and hand on what earlier owners may order

What callers saw: tasks ran twice at once. A new owner gave up a whole worker that an owner before it still extended the leases of, and started its tasks elsewhere.

Cause: a released ownership row was taken as proof that nobody gives orders any more. The owner that released goes on until it learns of it, and owners before it may have lost the store and go on for 8 s after their last commit.

Ruled out: a row that nobody released, which counts 8 s and covers all owners before; suspension, since a lease is a time on the worker's clock.

Change: an owner gives no orders once it has sent its release. The row says for how long owners before it may still do so, and each owner hands that on; a row without the field counts as 8 s. A release waits until no starts and no upkeep orders are left to send. lead-taken logs the time as orders_ms.

Waiting 8 s after each release was weighed and not taken, since runs of dead workers would wait longer after each planned stop.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -44,6 +44,10 @@
 	if o.inFlight {
 		return
 	}
+	if o.releasing && o.nothingLeft() {
+		o.sendRelease()
+		return
+	}
 	if len(o.dirtyJobs) == 0 && len(o.pendingDeletes) == 0 && len(o.pendingStarts) == 0 && len(o.waves.dirtyRecords) == 0 && len(o.waves.pendingUpkeeps) == 0 &&
 		o.commitAge() < renewInterval && !o.hasUncoveredEnds() {
 		return
@@ -156,6 +160,7 @@
 		},
 	}
 	for pause := retryPauseMin; o.ctx.Err() == nil; pause = min(2*pause, retryPauseMax) {
+		o.quiet.Store(t.release)
 		t.sent = o.lead.now()
 		version, _, err := o.lead.Rows.CommitKnown(o.ctx, t.txn, probe)
 		if err == nil {
@@ -173,6 +178,9 @@
 			o.cancel()
 			return
 		}
+		if errors.Is(err, rows.ErrRefused) {
+			o.quiet.Store(false) // the release has not taken effect and is not in flight
+		}
 		clock.Sleep(o.ctx, pause)
 	}
 }
@@ -219,30 +227,29 @@
 	}
 }
 
-// release gives the ownership up once the transaction in flight is committed and no changed records and no
-// starts to send are left, so that another node can take it at once. It returns when the owner has ended or ctx ends.
+// release gives the ownership up once the transaction in flight is committed and no changed records and no orders to
+// send are left, so that another node can take it at once. It returns when the owner has ended or ctx ends.
 func (o *Owner) release(ctx context.Context) {
-	asked := o.postAndWait(ctx, func() { o.releasing = true })
-	for asked && ctx.Err() == nil && o.ctx.Err() == nil {
-		released := false
-		o.postAndWait(ctx, func() {
-			if o.inFlight || len(o.dirtyJobs) > 0 || len(o.readyStarts) > 0 {
-				return
-			}
-			t := o.buildTxn()
-			t.row.Released, t.release = true, true
-			o.inFlight = true
-			o.spawn(func() { o.sendTxn(t) })
-			released = true
-		})
-		if released {
-			break
-		}
-		clock.Sleep(ctx, retryPauseMin)
-	}
+	o.postAndWait(ctx, func() { o.releasing = true })
 	select {
 	case <-o.ctx.Done():
 	case <-ctx.Done():
 	}
 	o.lead.Log.Emit(event.LeadReleased).Int64("epoch", o.epoch).AnErr("error", ctx.Err()).Send()
 }
+
+// nothingLeft reports whether everything that was decided is durable and sent.
+func (o *Owner) nothingLeft() bool {
+	return len(o.dirtyJobs) == 0 && len(o.pendingStarts) == 0 && len(o.readyStarts) == 0 && len(o.waves.pendingUpkeeps) == 0
+}
+
+// sendRelease sends the transaction that releases the ownership. From then on the owner gives no orders: the next one
+// relies on that, and this one may never learn that the transaction took effect.
+func (o *Owner) sendRelease() {
+	t := o.buildTxn()
+	t.release, t.row.Released = true, true
+	t.row.OrdersMs = max(0, o.earlierOrdersUntil-o.lead.now()).Milliseconds() + 1 // rounded up, and never 0
+	o.inFlight = true
+	o.txnSentAt.Store(int64(o.lead.now()))
+	o.spawn(func() { o.sendTxn(t) })
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -126,8 +126,24 @@
 	// N numbers the transactions of an epoch.
 	N int64 `json:"n"`
 	// Nonce tells two incarnations of a node apart.
-	Nonce    uint64 `json:"nonce"`
-	Released bool   `json:"released,omitempty"`
+	Nonce uint64 `json:"nonce"`
+	// Released means that any node may take the ownership at once. The owner gave no more orders once it had sent
+	// that.
+	Released bool `json:"released,omitempty"`
+	// OrdersMs is for how long after a release owners before the one that released may still give orders, in ms.
+	// 0 means that it is not known.
+	OrdersMs int64 `json:"orders,omitempty"`
+}
+
+// ordersLeft returns for how long after the row was written its owner, or one before, may still give orders.
+func (r ownership) ordersLeft() time.Duration {
+	switch {
+	case r.Owner == "":
+		return 0
+	case r.Released && r.OrdersMs > 0:
+		return time.Duration(r.OrdersMs) * time.Millisecond
+	}
+	return maxOrderAge
 }
 
 // sameOwner reports whether r and o name the same owner at the same epoch.
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -93,9 +93,14 @@
 	listOK      bool          // the workers' entries could be read last time
 	listOKSince time.Duration // when the entries became readable again
 	rebuilt     atomic.Bool   // the stored state has been read; any goroutine may read it
-	releasing   bool          // the ownership is being released; nothing more is decided
-	passDue     bool          // something changed that a scheduling pass must consider
-	nextPassAt  time.Duration // when the next pass may begin
+	// releasing means that the ownership is to be released once nothing is left to store or to send; nothing more is
+	// decided. quiet is set while the release is in flight; no order is given then. Any goroutine may read it.
+	releasing bool
+	quiet     atomic.Bool
+	// earlierOrdersUntil is until when owners before this one may still give orders.
+	earlierOrdersUntil time.Duration
+	passDue            bool          // something changed that a scheduling pass must consider
+	nextPassAt         time.Duration // when the next pass may begin
 }
 
 // startOutcome records since when it is certain that a worker knows a run, or since when it is uncertain
@@ -128,11 +133,16 @@
 func (o *Owner) commitAge() time.Duration { return o.lead.now() - time.Duration(o.committedAt.Load()) }
 
 // mayOrder reports whether the owner may still extend leases and stop runs.
-func (o *Owner) mayOrder() bool { return o.ctx.Err() == nil && o.commitAge() < maxOrderAge }
+func (o *Owner) mayOrder() bool { return o.mayOrderWithin(maxOrderAge) }
+
+// mayOrderWithin reports whether the owner may give orders that need a commit within limit.
+func (o *Owner) mayOrderWithin(limit time.Duration) bool {
+	return o.ctx.Err() == nil && !o.quiet.Load() && o.commitAge() < limit
+}
 
 // mayStart reports whether the last commit is recent enough to start runs. It does not prove that no other
 // node has taken over: the workers refuse the starts of an earlier epoch.
-func (o *Owner) mayStart() bool { return o.ctx.Err() == nil && o.commitAge() < slowStoreTakeoverAge }
+func (o *Owner) mayStart() bool { return o.mayOrderWithin(slowStoreTakeoverAge) }
 
 // moment returns the present time on both clocks.
 func (o *Owner) moment() sched.Moment {
@@ -184,13 +194,11 @@
 }
 
 // start reads the stored state and then begins to schedule; the loop renews the ownership row meanwhile.
-// prevMayBeAlive says that the previous owner may still run: runs that it started are then waited for
-// longer than those of an owner that resigned.
-func (o *Owner) start(prevMayBeAlive bool) {
+func (o *Owner) start() {
 	o.spawn(o.loop)
 	o.spawn(func() {
 		stored, ok := o.readStored()
-		if !ok || !o.postAndWait(o.ctx, func() { o.rebuild(stored, prevMayBeAlive) }) {
+		if !ok || !o.postAndWait(o.ctx, func() { o.rebuild(stored) }) {
 			return
 		}
 		o.spawn(func() { o.followFeed(stored.work.Version) })
@@ -315,8 +323,9 @@
 }
 
 // rebuild applies the stored state, in the loop. From then on the owner schedules. A worker that has runs
-// counts as silent until it answers; its runs are given up when their leases must have ended.
-func (o *Owner) rebuild(stored storedState, prevMayBeAlive bool) {
+// counts as silent until it answers; its runs are given up when their leases must have ended, which earlier owners
+// may still extend.
+func (o *Owner) rebuild(stored storedState) {
 	o.restoreWaveRecords(stored.waves)
 	records := make(map[string][]byte, len(stored.records.Rows))
 	for _, r := range stored.records.Rows {
@@ -331,10 +340,7 @@
 		// The job was removed, and the owner that removed it ended before it deleted the record.
 		o.pendingDeletes = append(o.pendingDeletes, rows.Row{Table: RecordTable, Key: id})
 	}
-	until := o.lead.now() + o.maxRunLife()
-	if prevMayBeAlive {
-		until += maxOrderAge
-	}
+	until := max(o.lead.now(), o.earlierOrdersUntil) + o.maxRunLife()
 	for id := range o.workersWithRuns() {
 		s := o.session(orders.Entry{Worker: sched.Worker{ID: id, Silent: true}})
 		s.leaseUntil = until
--- /dev/null
+++ b/internal/leader/release_test.go
@@ -0,0 +1,137 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"greengageline/internal/rows"
+)
+
+// muteStore loses all answers of the store to a node, from the next transaction on for which begins holds.
+func (sim *simulation) muteStore(node string, begins func(r ownership) bool) {
+	muted := &syncValue[bool]{}
+	sim.store.lose.set(func(n string) bool {
+		if n == node && begins(sim.storedOwnership()) {
+			muted.set(true)
+		}
+		return n == node && muted.get()
+	})
+	sim.store.refuse.set(func(n, op string) error {
+		if n == node && op != "commit" && muted.get() {
+			return rows.ErrOutcomeUnknown
+		}
+		return nil
+	})
+}
+
+// storedOwnership returns the ownership row.
+func (sim *simulation) storedOwnership() ownership {
+	sim.store.mu.Lock()
+	defer sim.store.mu.Unlock()
+	var r ownership
+	for _, row := range sim.store.rows {
+		if row.Table == OwnershipTable {
+			_ = json.Unmarshal(row.Value, &r) // the zero value fails the test
+		}
+	}
+	return r
+}
+
+// awaitOwner waits until a node other than those named owns the jobs.
+func (sim *simulation) awaitOwner(t *testing.T, nodes []*testNode, not ...*testNode) *testNode {
+	t.Helper()
+	for from := sim.now(); sim.now()-from < completionLimit; time.Sleep(20 * time.Millisecond) {
+		r := sim.storedOwnership()
+		for _, n := range nodes {
+			if n.Node != r.Owner || r.Released || n.LocalOwner() == nil || !n.LocalOwner().rebuilt.Load() {
+				continue
+			}
+			if !containsNode(not, n) {
+				return n
+			}
+		}
+	}
+	t.Fatal("no other node owns the jobs")
+	return nil
+}
+
+func containsNode(nodes []*testNode, n *testNode) bool {
+	for _, x := range nodes {
+		if x == n {
+			return true
+		}
+	}
+	return false
+}
+
+// ownerChanges are ways in which owners come and go while the first one, which has lost the store, goes on to extend
+// the leases of runs on a worker that only it reaches.
+var ownerChanges = map[string]func(t *testing.T, sim *simulation, nodes []*testNode, first *testNode){
+	"the owner does not learn that it has released": func(_ *testing.T, sim *simulation, _ []*testNode, first *testNode) {
+		sim.muteStore(first.Node, func(r ownership) bool { return r.Released })
+		go first.Resign(context.Background())
+	},
+	"the owner hands over to a larger node and does not learn of it": func(_ *testing.T, sim *simulation, _ []*testNode, first *testNode) {
+		sim.muteStore(first.Node, func(r ownership) bool { return r.Released })
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		first.LocalOwner().release(ctx)
+	},
+	"its successor releases at once": func(t *testing.T, sim *simulation, nodes []*testNode, first *testNode) {
+		sim.muteStore(first.Node, func(ownership) bool { return true })
+		sim.awaitOwner(t, nodes, first).Resign(context.Background())
+	},
+	"two successors release at once": func(t *testing.T, sim *simulation, nodes []*testNode, first *testNode) {
+		sim.muteStore(first.Node, func(ownership) bool { return true })
+		second := sim.awaitOwner(t, nodes, first)
+		second.Resign(context.Background())
+		sim.awaitOwner(t, nodes, first, second).Resign(context.Background())
+	},
+	"one successor releases and one dies": func(t *testing.T, sim *simulation, nodes []*testNode, first *testNode) {
+		sim.muteStore(first.Node, func(ownership) bool { return true })
+		second := sim.awaitOwner(t, nodes, first)
+		second.Resign(context.Background())
+		sim.awaitOwner(t, nodes, first, second).kill()
+	},
+}
+
+// Guards against giving up runs that an earlier owner still extends the leases of, because the ownership row says that
+// it was released: tasks then run twice at once (TWICE).
+func TestRunsOutliveOwnersThatMayStillOrder(t *testing.T) {
+	for name, change := range ownerChanges {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runOwnerChange(t, change) })
+		})
+	}
+}
+
+func runOwnerChange(t *testing.T, change func(*testing.T, *simulation, []*testNode, *testNode)) {
+	t.Helper()
+	is := is.New(t)
+	sim, nodes, stop := startSimulation(2, 5)
+	defer stop()
+	sim.setRunTime(14 * time.Second)
+	sim.submit("long", "bulk", oneGPU(4))
+	time.Sleep(500 * time.Millisecond)
+	first := ownerOf(nodes)
+	cut := sim.worker("w0")
+	if len(cut.runs) == 0 {
+		cut = sim.worker("w1")
+	}
+	runs := len(cut.runs)
+	is.True(runs > 0) // the worker that is cut off has runs
+	from := sim.now()
+	cut.unreachable.set(func(node string) bool { return node != first.Node && sim.now()-from < 20*time.Second })
+	change(t, sim, nodes, first)
+	is.True(sim.awaitOwner(t, nodes, first) != first)
+	time.Sleep(25 * time.Second)
+	sim.awaitCompleted(t, []string{"long"}, completionLimit)
+	for _, v := range sim.violations {
+		t.Error(v)
+	}
+}
--- a/internal/leader/take.go
+++ b/internal/leader/take.go
@@ -147,11 +147,12 @@
 		return
 	}
 	o := newOwner(l, next, version, sent)
+	o.earlierOrdersUntil = l.now() + prev.ordersLeft()
 	l.Log.Emit(event.LeadTaken).Int64("epoch", next.Epoch).Str("before", prev.Owner).Bool("released", prev.Released).
-		Int64("unchanged_ms", (l.now() - l.unchangedSince).Milliseconds()).Send()
+		Int64("unchanged_ms", (l.now()-l.unchangedSince).Milliseconds()).Int64("orders_ms", prev.ordersLeft().Milliseconds()).Send()
 	l.setOwnerAddr(l.Addr)
 	l.mu.Lock()
 	l.owner = o
 	l.mu.Unlock()
-	o.start(prev.Owner != "" && !prev.Released)
+	o.start()
 }
