leader: go on scheduling after a hand-over that could not be sent

What callers saw: nothing yet; found by reading. Jobs would wait without end while the owner renews its row.

Cause: an owner that wants to hand over to a larger node decides nothing more. When the time for the release was over, that state was never left.

Evidence: TestOwnerGoesOnAfterHandOverFails fails on the code before: a job is still queued 10 s after the store is back and the larger node has gone.

Ruled out: that another node takes over; the owner commits, so its row is not free.

Change: if the release has not been sent by then, the owner decides again. A release that was sent may take effect at any time, so the owner waits for its outcome.

Figures: the job of the test completes within 10 s.

Conclusion: fixed.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -238,6 +238,13 @@
 	o.lead.Log.Emit(event.LeadReleased).Int64("epoch", o.epoch).AnErr("error", ctx.Err()).Send()
 }
 
+// resume ends an attempt to release the ownership, unless the release has been sent.
+func (o *Owner) resume() {
+	if !o.inFlightRelease {
+		o.releasing, o.passDue = false, true
+	}
+}
+
 // nothingLeft reports whether everything that was decided is durable and sent.
 func (o *Owner) nothingLeft() bool {
 	return len(o.dirtyJobs) == 0 && len(o.pendingStarts) == 0 && len(o.readyStarts) == 0 && len(o.waves.pendingUpkeeps) == 0
@@ -249,7 +256,7 @@
 	t := o.buildTxn()
 	t.release, t.row.Released = true, true
 	t.row.OrdersMs = max(0, o.earlierOrdersUntil-o.lead.now()).Milliseconds() + 1 // rounded up, and never 0
-	o.inFlight = true
+	o.inFlight, o.inFlightRelease = true, true
 	o.txnSentAt.Store(int64(o.lead.now()))
 	o.spawn(func() { o.sendTxn(t) })
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -330,7 +330,7 @@
 }
 
 // handOverToLarger releases the ownership if a node with clearly more cores has polled: an owner that can't
-// keep up delays the whole fleet.
+// keep up delays the whole fleet. If the release can't be sent in time, the owner goes on.
 func (l *Candidate) handOverToLarger(ctx context.Context, o *Owner) {
 	if l.recordCores(0) < handOverRatio*l.Cores || l.Cores == 0 || l.now()-o.takenAt < settleTime || !o.rebuilt.Load() {
 		return
@@ -338,6 +338,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	o.release(ctx)
+	o.post(o.resume)
 	l.handedOverAt = l.now()
 }
 
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -97,6 +97,8 @@
 	// decided. quiet is set while the release is in flight; no order is given then. Any goroutine may read it.
 	releasing bool
 	quiet     atomic.Bool
+	// inFlightRelease means that the transaction in flight releases the ownership.
+	inFlightRelease bool
 	// earlierOrdersUntil is until when owners before this one may still give orders.
 	earlierOrdersUntil time.Duration
 	passDue            bool          // something changed that a scheduling pass must consider
--- a/internal/leader/release_test.go
+++ b/internal/leader/release_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"greengageline/internal/rows"
+	"greengageline/pkg/model"
 )
 
 // muteStore loses all answers of the store to a node, from the next transaction on for which begins holds.
@@ -135,3 +136,27 @@
 		t.Error(v)
 	}
 }
+
+// Guards against an owner that schedules nothing more after the larger node to which it wanted to hand over is gone.
+func TestOwnerGoesOnAfterHandOverFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sim, nodes, stop := startSimulation(2, 1)
+		defer stop()
+		sim.setRunTime(500 * time.Millisecond)
+		o := ownerOf(nodes)
+		sim.store.refuse.set(func(_, op string) error {
+			if op == "commit" {
+				return rows.ErrRefused
+			}
+			return nil
+		})
+		time.Sleep(time.Second) // a transaction is in flight, so that the release must wait
+		o.recordCores(o.Cores * 2)
+		time.Sleep(5 * time.Second) // the node tries to hand over, in vain, and the larger node polls no more
+		sim.store.refuse.set(nil)
+		sim.submit("later", "bulk", model.Step{Tasks: 1, Each: model.Room{Millicores: 1000, MemoryMB: 1000}, EstimateMs: 500})
+		sim.awaitCompleted(t, []string{"later"}, 10*time.Second)
+		is.Equal(sim.violations, nil)
+	})
+}
