leader: don't give a worker up for status 421 where it never answered

What callers saw: nothing reported; tasks would run twice at once.

Cause: status 421 proves that the worker does not listen at the address that was called. It was taken as proof that the worker is gone, also when the address came from a wrong entry, and all its runs were given up at once.

Ruled out: a change of the address that ends the session; worker-gone names status 421.

Change: status 421 gives runs up at once only at the address at which the worker has answered this owner; elsewhere its leases have to run out. An incarnation that has answered stays at its address, and bad-vm-entry tells of an entry that differs.

--- a/internal/leader/entries_test.go
+++ b/internal/leader/entries_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"greengageline/internal/orders"
 	"greengageline/pkg/model"
 )
 
@@ -82,3 +84,44 @@
 	}
 	is.Equal(sim.violations, nil)
 }
+
+// wrongEntries are entries that another writer has put in place of a worker's own.
+var wrongEntries = map[string]func(e *orders.Entry){
+	"the address of another worker":                             func(e *orders.Entry) { e.Addr = "w0" },
+	"the address of another worker and a later start":           func(e *orders.Entry) { e.Addr, e.StartedMs = "w0", e.StartedMs+1000 },
+	"the address of another worker and no start":                func(e *orders.Entry) { e.Addr, e.StartedMs = "w0", 0 },
+	"the address of another worker, of a worker that is silent": func(e *orders.Entry) { e.Addr = "w0" },
+}
+
+// Guards against giving up the runs of a worker that is alive because its entry has the address of another one, which
+// answers that it is not the worker: the tasks then run twice at once (TWICE).
+func TestRunsOutliveWrongAddresses(t *testing.T) {
+	for name, alter := range wrongEntries {
+		for when, change := range map[string]bool{"the owner stays": false, "the owner dies": true} {
+			t.Run(name+"/"+when, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					sim, nodes, stop := startSimulation(3, 2)
+					defer stop()
+					sim.setRunTime(10 * time.Second)
+					sim.submit("long", "bulk", oneGPU(20)) // on all workers
+					time.Sleep(time.Second)
+					m := sim.worker("w1")
+					is.True(len(m.runs) > 0)
+					if strings.HasSuffix(name, "silent") {
+						from := sim.now()
+						m.unreachable.set(func(string) bool { return sim.now()-from < 2*time.Second })
+					}
+					m.alterEntry.set(alter)
+					if change {
+						ownerOf(nodes).kill()
+					}
+					time.Sleep(3 * time.Second)
+					m.alterEntry.set(nil)
+					sim.awaitCompleted(t, []string{"long"}, completionLimit)
+					is.Equal(sim.violations, nil)
+				})
+			})
+		}
+	}
+}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -43,11 +43,15 @@
 // of the worker's runs, acknowledges ended runs and waits for new ends. The fields belong to the owner's
 // loop; calls in flight work on copies and report to the loop.
 type session struct {
-	o       *Owner
-	entry   orders.Entry
-	listed  bool // the worker has an entry
-	adopted bool // its runs were started under an earlier owner; cleared by the first answer
-	closed  bool // the session has ended
+	o     *Owner
+	entry orders.Entry
+	// provenAddr is the address at which the worker answered last; "" before it has answered this owner.
+	provenAddr string
+	// rejectedAddr is the last other address in an entry of that incarnation.
+	rejectedAddr string
+	listed       bool // the worker has an entry
+	adopted      bool // its runs were started under an earlier owner; cleared by the first answer
+	closed       bool // the session has ended
 	// incarnation is the worker's incarnation that answered last, as its start time in Unix ms.
 	// incarnationConfirmed is set while the present connection has confirmed that it is still that one.
 	incarnation          int64
@@ -223,7 +227,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		out, err := o.lead.Fleet.Hold(ctx, e, in)
 		cancel()
-		o.post(func() { s.handleHold(sent, to, in, out, err) })
+		o.post(func() { s.handleHold(heldCall{in, sent, to, e.Addr}, out, err) })
 	})
 }
 
@@ -267,9 +271,17 @@
 	s.incarnationConfirmed, s.failedAt = false, s.o.lead.now()
 }
 
-// handleHold handles the outcome of the hold in, which was sent to the incarnation to at the time sent.
-func (s *session) handleHold(sent time.Duration, to int64, in orders.Hold, out orders.HoldReply, err error) {
-	o := s.o
+// heldCall is a hold that was sent at a time to an address, where the incarnation to was expected.
+type heldCall struct {
+	orders.Hold
+	sent time.Duration
+	to   int64
+	addr string
+}
+
+// handleHold handles the outcome of a hold.
+func (s *session) handleHold(in heldCall, out orders.HoldReply, err error) {
+	o, sent := s.o, in.sent
 	s.holdsInFlight--
 	o.lead.Metrics.orderSent("hold", err)
 	if s.closed {
@@ -281,9 +293,10 @@
 		}
 	}()
 	if err != nil {
-		s.handleHoldFailure(err)
+		s.handleHoldFailure(in.addr, err)
 		return
 	}
+	s.provenAddr = in.addr
 	now := o.moment()
 	if out.StartedMs != 0 && out.StartedMs != s.incarnation && sent < s.incarnationSince {
 		// The answer of an earlier incarnation, overtaken by one of the present incarnation.
@@ -297,11 +310,11 @@
 	s.noteIncarnation(sent, out, now.Steady)
 	s.noteAnswer(now.Steady)
 	s.forgetLostRuns()
-	if to == s.incarnation {
+	if in.to == s.incarnation {
 		s.ackedEnd = max(s.ackedEnd, in.Acked)
 	}
 	s.recordClock(out.ClockMs, now.Steady)
-	s.applyRuns(sent, in, out, now)
+	s.applyRuns(sent, in.Hold, out, now)
 	s.adopted = false
 	if len(out.Ended) > 0 {
 		o.passDue = true
@@ -398,8 +411,8 @@
 	}
 }
 
-// handleHoldFailure handles a hold that failed: the worker counts as silent until it answers again.
-func (s *session) handleHoldFailure(err error) {
+// handleHoldFailure handles a hold to an address that failed: the worker counts as silent until it answers again.
+func (s *session) handleHoldFailure(addr string, err error) {
 	o := s.o
 	s.noteUncertain()
 	s.noteFailure(err)
@@ -408,8 +421,9 @@
 		s.o.cancel()
 		return
 	}
-	if errors.Is(err, orders.ErrOtherIncarnation) {
-		// Another incarnation answers at the address: the one with the runs is gone.
+	if errors.Is(err, orders.ErrOtherIncarnation) && addr == s.provenAddr {
+		// Another worker has the address at which this one answered, so this one is gone. Elsewhere the entry may be
+		// wrong, and the leases of the runs have to run out.
 		s.leaseUntil = 0
 		s.loseRuns("another incarnation answers at its address", s.endsUnplanned())
 		if s.endsUnplanned() {
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -119,6 +119,9 @@
 		},
 		Hold: func(ctx context.Context, e orders.Entry, in orders.Hold) (orders.HoldReply, error) {
 			m := sim.worker(e.ID)
+			if e.Addr != m.addr {
+				return orders.HoldReply{}, orders.ErrOtherIncarnation
+			}
 			if !m.connect(node) {
 				return orders.HoldReply{}, errNoConnection
 			}
@@ -130,6 +133,9 @@
 		},
 		Start: func(ctx context.Context, e orders.Entry, in orders.Start) (int64, error) {
 			m := sim.worker(e.ID)
+			if e.Addr != m.addr {
+				return 0, orders.ErrOtherIncarnation
+			}
 			if !m.connect(node) {
 				return 0, errNoConnection
 			}
@@ -203,6 +209,9 @@
 				Worker: sched.Worker{ID: id, Pool: "p", Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving.get()},
 				Addr:   m.addr, StartedMs: m.born,
 			})
+			if alter := m.alterEntry.get(); alter != nil {
+				alter(&out[len(out)-1])
+			}
 		}
 	}
 	slices.SortFunc(out, func(a, b orders.Entry) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/leader/worker_test.go
+++ b/internal/leader/worker_test.go
@@ -41,10 +41,11 @@
 	runTime       syncValue[time.Duration]
 	failRuns      syncValue[bool]
 	leaving       syncValue[bool]
-	resets        syncValue[func() bool] // whether the connection is closed instead of carrying an order
-	crashed       syncValue[bool]        // its connections are closed, and nobody listens
-	replaced      syncValue[bool]        // another incarnation answers at its address
-	ignoreContext syncValue[bool]        // a hold does not end with its context, as a real call may not
+	resets        syncValue[func() bool]           // whether the connection is closed instead of carrying an order
+	crashed       syncValue[bool]                  // its connections are closed, and nobody listens
+	replaced      syncValue[bool]                  // another incarnation answers at its address
+	alterEntry    syncValue[func(e *orders.Entry)] // changes the entry as another writer does
+	ignoreContext syncValue[bool]                  // a hold does not end with its context, as a real call may not
 
 	// mu guards all workers of the simulation, since a start reads another worker's runs. It is locked
 	// before simulation.mu.
--- a/internal/leader/workers.go
+++ b/internal/leader/workers.go
@@ -85,6 +85,7 @@
 	if s.entry.StartedMs != e.StartedMs {
 		s.noteUncertain()
 	}
+	e.Addr = s.checkedAddr(e)
 	s.entry, s.listed = e, true
 	if s.incarnation == 0 {
 		s.incarnation = e.StartedMs
@@ -101,3 +102,16 @@
 		o.passDue = true
 	}
 }
+
+// checkedAddr returns the address at which to reach the worker after its entry was read. An incarnation that has
+// answered stays at its address; an entry that says otherwise may come from another writer.
+func (s *session) checkedAddr(e orders.Entry) string {
+	if s.provenAddr == "" || e.Addr == s.provenAddr || e.StartedMs == 0 || e.StartedMs != s.entry.StartedMs {
+		return e.Addr
+	}
+	if e.Addr != s.rejectedAddr {
+		s.rejectedAddr = e.Addr
+		s.o.lead.Log.Emit(event.BadVM).Str("worker", e.ID).Str("address", e.Addr).Str("answers_at", s.provenAddr).Int64("epoch", s.o.epoch).Send()
+	}
+	return s.provenAddr
+}
