leader: send a hold before the first start to a worker

What callers saw: nothing reported; a job could be shown as failed because of entries that have no worker.

Cause: a new owner starts tasks on workers that have not answered it. A hold came first only if the worker's clock was not known, and entries carry the clock. Where the connection was then closed, the start counted as a crash, three of which fail a job.

Ruled out: real workers that are taken for crashed; all runs are lost on the phantoms.

Change: a hold comes before the first start to a worker that has not answered yet. The fakes' entries have the clock, as those of the platform do.

--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -207,7 +207,7 @@
 		if !m.dead.get() && !m.unlisted.get() {
 			out = append(out, orders.Entry{
 				Worker: sched.Worker{ID: id, Pool: "p", Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving.get()},
-				Addr:   m.addr, StartedMs: m.born,
+				Addr:   m.addr, StartedMs: m.born, ClockMs: m.clock(),
 			})
 			if alter := m.alterEntry.get(); alter != nil {
 				alter(&out[len(out)-1])
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -47,7 +47,10 @@
 	}
 	in := orders.Start{
 		Task: order.Task, Run: order.Run, Payload: j.Work.Payload, Epoch: o.epoch,
-		DeadlineMs: s.leaseDeadline(), Checkpoint: order.Checkpoint, Ticket: order.Ticket,
+		Checkpoint: order.Checkpoint, Ticket: order.Ticket,
+	}
+	if s.proven {
+		in.DeadlineMs = s.leaseDeadline()
 	}
 	s.startsInFlight[order.Task] = order.Run
 	s.leaseUntil = max(s.leaseUntil, o.lead.now()+o.maxRunLife())
@@ -56,8 +59,8 @@
 	o.spawn(func() { o.callStart(s, e, in, to, sentAt, timeout) })
 }
 
-// callStart calls the worker to start a run; as far as is known its incarnation is to. If the worker's clock is not
-// known it first reads it with a hold, to compute the lease.
+// callStart calls the worker to start a run; as far as is known its incarnation is to. If in has no lease, the worker
+// has not answered yet or its clock is not known: a hold comes first, and only its answer leads to the start.
 func (o *Owner) callStart(s *session, e orders.Entry, in orders.Start, to int64, sentAt, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(o.ctx, timeout)
 	defer cancel()
