leader: count leases on the clock of the present incarnation

What callers saw: nothing reported; a task would run twice at once.

Cause: a worker that restarts under its id begins its clock anew. The owner went on to count leases from the clock of the earlier incarnation, far ahead, so that only the longest lease from when a start is carried out bounded it. A start that is carried out late then outlives the time that the owner waits.

Ruled out: that the owner does not wait for a start without an answer; the second run begins 8.7 s after the first start was sent.

Change: an entry with a later start time brings its clock, and the answer to a start does so only if it is of the incarnation that is known now.

Conclusion: fixed, but for the 0.5 s until the new entry has been read.

--- a/internal/leader/reborn_test.go
+++ b/internal/leader/reborn_test.go
@@ -146,3 +146,34 @@
 	}
 	is.Equal(sim.violations, nil)
 }
+
+// Guards against a lease that is counted from the clock of an earlier incarnation: a start that is carried out late then
+// runs for longer than the owner waits, and the task runs twice at once (TWICE).
+func TestLateStartsAfterARestartLapseInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sim, _, stop := startSimulation(2, 1)
+		defer stop()
+		sim.submit("first", "bulk", oneGPU(16)) // reads the clocks
+		sim.awaitCompleted(t, []string{"first"}, completionLimit)
+		time.Sleep(20 * time.Second)
+		sim.worker("w1").leaving.set(true)
+		m := sim.worker("w0")
+		m.mu.Lock()
+		clear(m.connected) // idle connections have been closed
+		m.mu.Unlock()
+		m.restart(true) // its entry remains
+		time.Sleep(time.Second)
+		sim.setRunTime(20 * time.Second)
+		from := sim.now()
+		m.delay.set(func() time.Duration { return 4 * time.Second })
+		sim.submit("late", "bulk", oneGPU(1))
+		time.Sleep(500 * time.Millisecond)
+		m.delay.set(nil)
+		m.unreachable.set(func(string) bool { return sim.now()-from < 20*time.Second })
+		sim.worker("w1").leaving.set(false)
+		sim.awaitCompleted(t, []string{"late"}, completionLimit)
+		is.True(lo.Count(sim.starts, "late.0.0.0") > 1) // the late start was carried out
+		is.Equal(sim.violations, nil)
+	})
+}
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -125,7 +125,9 @@
 		s.handleStartFailure(in, to, at, err)
 		return
 	}
-	s.recordClock(clockMs, at)
+	if to == s.reachedIncarnation() {
+		s.recordClock(clockMs, at)
+	}
 	s.noteAnswer(at)
 	o.confirmedRuns[in.Task] = startOutcome{run: in.Run, at: at, incarnation: to}
 	if run, worker, placed := o.engine.CurrentRun(in.Task); placed && run == in.Run && worker == s.entry.ID {
--- a/internal/leader/workers.go
+++ b/internal/leader/workers.go
@@ -82,7 +82,8 @@
 	if old := o.silentAt[e.Addr]; !known && old != nil && old != s && old.endsUnplanned() {
 		old.countLostRuns() // the worker at the address is a later incarnation
 	}
-	if s.entry.StartedMs != e.StartedMs {
+	restarted := s.entry.StartedMs != e.StartedMs
+	if restarted {
 		s.noteUncertain()
 	}
 	e.Addr = s.checkedAddr(e)
@@ -90,8 +91,10 @@
 	if s.incarnation == 0 {
 		s.incarnation = e.StartedMs
 	}
-	if !s.clockOK {
-		// The entry was written before this reading, so the estimate of the clock is behind it.
+	if !s.clockOK || restarted && e.StartedMs > s.incarnation {
+		// The entry was written before this reading, so the estimate of the clock is behind it. That of an earlier
+		// incarnation would be ahead.
+		s.clockOK = false
 		s.recordClock(e.ClockMs, now)
 	}
 	o.updateWorker(s)
