leader: don't take the clock of a restarted worker from its entry

Cause: an entry with a later start time brought the clock with it. Such an entry may come from another writer, and a start time may also go back with the time of day; in both cases the clock in use could still be ahead.

Change: after an entry with another start time the clock counts as not known until the worker has answered, so that a hold comes before the next start.

Conclusion: one more hold for each restart, and no belief about the clock.

--- a/internal/leader/workers.go
+++ b/internal/leader/workers.go
@@ -91,10 +91,11 @@
 	if s.incarnation == 0 {
 		s.incarnation = e.StartedMs
 	}
-	if !s.clockOK || restarted && e.StartedMs > s.incarnation {
-		// The entry was written before this reading, so the estimate of the clock is behind it. That of an earlier
-		// incarnation would be ahead.
-		s.clockOK = false
+	switch {
+	case restarted && e.StartedMs != s.incarnation:
+		s.clockOK = false // it begins anew, so that the estimate may be ahead of it, until the worker answers
+	case !s.clockOK && !known:
+		// The entry was written before this reading, so the estimate of the clock is behind it.
 		s.recordClock(e.ClockMs, now)
 	}
 	o.updateWorker(s)
