leader: store the longest lease with the ownership

What callers saw: nothing reported; tasks would run twice at once while nodes are restarted with another bound of leases.

Cause: a new owner waited out the leases of earlier owners by the bound in its own settings, which may be shorter than theirs.

Ruled out: that workers cut leases to a new bound; it is that of the node that orders.

Change: the ownership row has the longest lease of its owner, or of those before as long as theirs may be in force, and a new owner waits for the longer one.

Conclusion: fixed, but for rows of an earlier version, which don't have the field.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -73,6 +73,7 @@
 func (o *Owner) buildTxn() *pendingTxn {
 	t := &pendingTxn{row: o.row, finals: map[string]sched.State{}, ackedEnds: map[*session]endMark{}}
 	t.row.N++
+	t.row.LeaseMs = o.longestLease().Milliseconds()
 	o.addWaveRows(t)
 	o.addRecords(t)
 	o.addStarts(t)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -133,6 +133,14 @@
 	// OrdersMs is for how long after a release owners before the one that released may still give orders, in ms.
 	// 0 means that it is not known.
 	OrdersMs int64 `json:"orders,omitempty"`
+	// LeaseMs is the longest lease that this owner orders, or one before that may still be in force, in ms. 0 means
+	// that it is not known.
+	LeaseMs int64 `json:"lease,omitempty"`
+}
+
+// lease returns the longest lease that may be in force when the next owner begins; own is that of its settings.
+func (r ownership) lease(own time.Duration) time.Duration {
+	return max(own, time.Duration(r.LeaseMs)*time.Millisecond)
 }
 
 // ordersLeft returns for how long after the row was written its owner, or one before, may still give orders.
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -101,8 +101,10 @@
 	inFlightRelease bool
 	// earlierOrdersUntil is until when owners before this one may still give orders.
 	earlierOrdersUntil time.Duration
-	passDue            bool          // something changed that a scheduling pass must consider
-	nextPassAt         time.Duration // when the next pass may begin
+	// earlierLease is the longest lease of this owner and of those before.
+	earlierLease time.Duration
+	passDue      bool          // something changed that a scheduling pass must consider
+	nextPassAt   time.Duration // when the next pass may begin
 }
 
 // startOutcome records since when it is certain that a worker knows a run, or since when it is uncertain
@@ -342,7 +344,7 @@
 		// The job was removed, and the owner that removed it ended before it deleted the record.
 		o.pendingDeletes = append(o.pendingDeletes, rows.Row{Table: RecordTable, Key: id})
 	}
-	until := max(o.lead.now(), o.earlierOrdersUntil) + o.maxRunLife()
+	until := max(o.lead.now(), o.earlierOrdersUntil) + o.runLife(o.earlierLease)
 	for id := range o.workersWithRuns() {
 		s := o.session(orders.Entry{Worker: sched.Worker{ID: id, Silent: true}})
 		s.leaseUntil = until
@@ -368,11 +370,21 @@
 	return out
 }
 
-// maxRunLife returns how long after an order a run may live at a worker whose clock is 2 % slow, including
+// maxRunLife returns how long after an order of this owner a run may live.
+func (o *Owner) maxRunLife() time.Duration { return o.runLife(o.lead.Bounds.MaxLease) }
+
+// runLife returns how long after an order with a lease a run may live at a worker whose clock is 2 % slow, including
 // the time to stop it.
-func (o *Owner) maxRunLife() time.Duration {
-	hold := o.lead.Bounds.MaxLease
-	return hold + hold*3/100 + o.lead.Bounds.KillGrace + transitAllowance
+func (o *Owner) runLife(lease time.Duration) time.Duration {
+	return lease + lease*3/100 + o.lead.Bounds.KillGrace + transitAllowance
+}
+
+// longestLease returns the longest lease that may be in force now or be ordered by this owner.
+func (o *Owner) longestLease() time.Duration {
+	if o.lead.now() > o.earlierOrdersUntil+o.runLife(o.earlierLease) {
+		return o.lead.Bounds.MaxLease
+	}
+	return o.earlierLease
 }
 
 // transitAllowance is how long an order may be in transit. A worker counts a lease on its own clock, so
--- a/internal/leader/release_test.go
+++ b/internal/leader/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,6 +138,46 @@
 	}
 }
 
+// Guards against giving up runs under leases that are longer than those of the new owner's settings, which may differ
+// between nodes while they are restarted: tasks then run twice at once (TWICE).
+func TestRunsOutliveOwnersWithShorterLeases(t *testing.T) {
+	for name, leases := range map[string][]time.Duration{
+		"the next owner":             {maxLease, maxLease / 3, maxLease / 3},
+		"the owner after a release":  {maxLease, maxLease / 3, maxLease / 4},
+		"the first owner of several": {maxLease, maxLease, maxLease / 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, nodes, stop := startSimulation(2, 1)
+				defer stop()
+				sim.setRunTime(11 * time.Second)
+				sim.submit("long", "bulk", oneGPU(4))
+				time.Sleep(500 * time.Millisecond)
+				cut := sim.worker("w0")
+				if len(cut.runs) == 0 {
+					cut = sim.worker("w1")
+				}
+				is.True(len(cut.runs) > 0) // the worker that is cut off has runs
+				from := sim.now()
+				cut.unreachable.set(func(node string) bool { return node != nodes[0].Node && sim.now()-from < 15*time.Second })
+				for i, lease := range leases[1:] {
+					n := sim.newNode(fmt.Sprintf("m%d", i), testCores)
+					n.Bounds.MaxLease = lease
+					n.start(t.Context())
+					defer n.kill()
+					go nodes[i].Resign(context.Background())
+					nodes = append(nodes, sim.awaitOwner(t, []*testNode{n}))
+				}
+				sim.awaitCompleted(t, []string{"long"}, completionLimit)
+				is.Equal(sim.violations, nil)
+				time.Sleep(20 * time.Second)
+				is.Equal(sim.storedOwnership().lease(0), leases[2]) // those of earlier owners have ended
+			})
+		})
+	}
+}
+
 // Guards against an owner that schedules nothing more after the larger node to which it wanted to hand over is gone.
 func TestOwnerGoesOnAfterHandOverFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/leader/take.go
+++ b/internal/leader/take.go
@@ -125,7 +125,8 @@
 // take rewrites the row with the next epoch, on condition that it is unchanged since it was read, and
 // starts the owner.
 func (l *Candidate) take(ctx context.Context, row rows.Row, prev ownership) {
-	next := ownership{Owner: l.Node, Addr: l.Addr, Epoch: prev.Epoch + 1, Nonce: l.nonce, N: 1}
+	lease := prev.lease(l.Bounds.MaxLease)
+	next := ownership{Owner: l.Node, Addr: l.Addr, Epoch: prev.Epoch + 1, Nonce: l.nonce, N: 1, LeaseMs: lease.Milliseconds()}
 	value, err := json.Marshal(next)
 	if err != nil {
 		return
@@ -147,7 +148,7 @@
 		return
 	}
 	o := newOwner(l, next, version, sent)
-	o.earlierOrdersUntil = l.now() + prev.ordersLeft()
+	o.earlierOrdersUntil, o.earlierLease = l.now()+prev.ordersLeft(), lease
 	l.Log.Emit(event.LeadTaken).Int64("epoch", next.Epoch).Str("before", prev.Owner).Bool("released", prev.Released).
 		Int64("unchanged_ms", (l.now()-l.unchangedSince).Milliseconds()).Int64("orders_ms", prev.ordersLeft().Milliseconds()).Send()
 	l.setOwnerAddr(l.Addr)
