leader: say what each state of a release means

Cause: one comment told of two fields with different readers.

Change: a comment for each of releasing, inFlightRelease and quiet. No code changes.

Conclusion: comments only.

--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -93,12 +93,14 @@
 	listOK      bool          // the workers' entries could be read last time
 	listOKSince time.Duration // when the entries became readable again
 	rebuilt     atomic.Bool   // the stored state has been read; any goroutine may read it
-	// releasing means that the ownership is to be released once nothing is left to store or to send; nothing more is
-	// decided. quiet is set while the release is in flight; no order is given then. Any goroutine may read it.
+	// releasing means that the ownership is to be released once nothing is left to store or to send. Nothing more is
+	// decided.
 	releasing bool
-	quiet     atomic.Bool
-	// inFlightRelease means that the transaction in flight releases the ownership.
+	// inFlightRelease means that the transaction in flight is the release. It stays set until the outcome is known.
 	inFlightRelease bool
+	// quiet means that the release may take effect, so that no order may be given. It is false while a release that
+	// the store has refused waits for the next attempt. Any goroutine may read it.
+	quiet atomic.Bool
 	// earlierOrdersUntil is until when owners before this one may still give orders.
 	earlierOrdersUntil time.Duration
 	// earlierLease is the longest lease of this owner and of those before.
