leader: fix a data race in a test

Cause: a fault of a test read a variable that the test went on to write, and tests counted the runs of a worker without its mutex.

Evidence: go test -race reported TestRunsOutliveOwnersWithShorterLeases.

Ruled out: the product; the trace has test files only.

Change: the name is copied, and runCount takes the mutex.

Conclusion: fixed.

--- a/internal/leader/entries_test.go
+++ b/internal/leader/entries_test.go
@@ -107,7 +107,7 @@
 					sim.submit("long", "bulk", oneGPU(20)) // on all workers
 					time.Sleep(time.Second)
 					m := sim.worker("w1")
-					is.True(len(m.runs) > 0)
+					is.True(m.runCount() > 0)
 					if strings.HasSuffix(name, "silent") {
 						from := sim.now()
 						m.unreachable.set(func(string) bool { return sim.now()-from < 2*time.Second })
--- a/internal/leader/release_test.go
+++ b/internal/leader/release_test.go
@@ -122,11 +122,10 @@
 	time.Sleep(500 * time.Millisecond)
 	first := ownerOf(nodes)
 	cut := sim.worker("w0")
-	if len(cut.runs) == 0 {
+	if cut.runCount() == 0 {
 		cut = sim.worker("w1")
 	}
-	runs := len(cut.runs)
-	is.True(runs > 0) // the worker that is cut off has runs
+	is.True(cut.runCount() > 0) // the worker that is cut off has runs
 	from := sim.now()
 	cut.unreachable.set(func(node string) bool { return node != first.Node && sim.now()-from < 20*time.Second })
 	change(t, sim, nodes, first)
@@ -155,12 +154,13 @@
 				sim.submit("long", "bulk", oneGPU(4))
 				time.Sleep(500 * time.Millisecond)
 				cut := sim.worker("w0")
-				if len(cut.runs) == 0 {
+				if cut.runCount() == 0 {
 					cut = sim.worker("w1")
 				}
-				is.True(len(cut.runs) > 0) // the worker that is cut off has runs
+				is.True(cut.runCount() > 0) // the worker that is cut off has runs
 				from := sim.now()
-				cut.unreachable.set(func(node string) bool { return node != nodes[0].Node && sim.now()-from < 15*time.Second })
+				first := nodes[0].Node
+				cut.unreachable.set(func(node string) bool { return node != first && sim.now()-from < 15*time.Second })
 				for i, lease := range leases[1:] {
 					n := sim.newNode(fmt.Sprintf("m%d", i), testCores)
 					n.Bounds.MaxLease = lease
--- a/internal/leader/worker_test.go
+++ b/internal/leader/worker_test.go
@@ -99,6 +99,13 @@
 	return nil
 }
 
+// runCount returns how many runs the worker has.
+func (m *fakeWorker) runCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.runs)
+}
+
 func (m *fakeWorker) incarnation() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
