leader, sched: tell what the owner's link carries and which steps wait for starts

Change: the bytes and messages of a node by kind (start, stop, hold, commit, read, feed) as metrics, a line owner-load with them every five seconds at the owner, and the reason "starts are limited" for steps that wait behind the bound of starts.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,7 @@
 	WaveAsked      ID = 330
 	WaveTold       ID = 331
 	UpkeepOrdered  ID = 332
+	OwnerLoad      ID = 333
 	Placed         ID = 401
 	Evicted        ID = 402
 	Held           ID = 403
@@ -146,6 +147,7 @@
 	{WaveAsked, "wave-asked", zerolog.InfoLevel, "An operator asks for the upkeep of some VMs; the line gives how many, how many at once, and the time."},
 	{WaveTold, "wave-told", zerolog.InfoLevel, "The operator is told that a wave goes on or is completed."},
 	{UpkeepOrdered, "upkeep-ordered", zerolog.InfoLevel, "The platform was told to take a VM into upkeep; the line gives the error if it did not."},
+	{OwnerLoad, "owner-load", zerolog.InfoLevel, "What the owner's node has exchanged since the last such line, by kind of message, with the tasks that wait for a start and the starts that may be in flight."},
 	{Placed, "placed", zerolog.InfoLevel, "A placement was decided; the line gives mode, workers and reason."},
 	{Evicted, "evicted", zerolog.InfoLevel, "A job is stopped to give its places back; the line gives the reason."},
 	{Held, "held", zerolog.InfoLevel, "Places are held for a blocked gang."},
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -16,6 +16,16 @@
 	Meter *metric.Work
 	// StoreFailed counts the calls of the store that failed.
 	StoreFailed atomic.Int64
+	// Traffic counts what this node exchanges, by kind of message; nil means that it is not counted.
+	Traffic *metric.Traffic
+}
+
+// traffic returns what this node has exchanged until now, by kind of message.
+func (c *Metrics) traffic() map[string]metric.Flow {
+	if c == nil {
+		return nil
+	}
+	return c.Traffic.Flows()
 }
 
 func (c *Metrics) jobEnded(state sched.State, took time.Duration) {
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -10,6 +10,7 @@
 
 	"greengageline/internal/clock"
 	"greengageline/internal/event"
+	"greengageline/internal/metric"
 	"greengageline/internal/orders"
 	"greengageline/internal/rows"
 	"greengageline/internal/sched"
@@ -107,6 +108,9 @@
 	earlierLease time.Duration
 	passDue      bool          // something changed that a scheduling pass must consider
 	nextPassAt   time.Duration // when the next pass may begin
+	// loadReportedAt is when the load was last reported, with the traffic until then.
+	loadReportedAt time.Duration
+	reportedFlows  map[string]metric.Flow
 }
 
 // startOutcome records since when it is certain that a worker knows a run, or since when it is uncertain
@@ -259,6 +263,7 @@
 	}
 	o.purge()
 	o.planUpkeep()
+	o.reportLoad()
 	o.passDue = true
 }
 
--- a/internal/metric/work.go
+++ b/internal/metric/work.go
@@ -68,6 +68,8 @@
 	{"starts_window", "Starts that the owner may have in flight, by how promptly they are answered."},
 	{"starts_waiting", "Starts that are decided and not sent yet."},
 	{"store_failures_total", "Calls of the owner to the store that failed."},
+	{"traffic_bytes_total", "Bytes that this node exchanged, by kind of message and direction."},
+	{"traffic_messages_total", "Messages that this node sent, by kind."},
 	{"log_lines_dropped_total", "Log lines dropped because the output stood still."},
 }
 
@@ -80,8 +82,8 @@
 	return ""
 }
 
-// NewWork returns a Work that calls gauges at each scrape for the current gauge values.
-func NewWork(gauges func() WorkGauges) (*Work, error) {
+// NewWork returns a Work that calls gauges at each scrape for the current gauge values and reads t, which may be nil.
+func NewWork(gauges func() WorkGauges, t *Traffic) (*Work, error) {
 	registry := prometheus.NewRegistry()
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
 	if err != nil {
@@ -105,9 +107,37 @@
 			return nil, fmt.Errorf("declare metric %q: %w", name, err)
 		}
 	}
+	if err := declareTraffic(m, t); err != nil {
+		return nil, err
+	}
 	return w, declareWorkGauges(m, gauges)
 }
 
+// declareTraffic declares the metrics of t.
+func declareTraffic(m metric.Meter, t *Traffic) error {
+	for name, observe := range map[string]func(o metric.Int64Observer, kind attribute.KeyValue, f Flow){
+		"traffic_bytes_total": func(o metric.Int64Observer, kind attribute.KeyValue, f Flow) {
+			o.Observe(f.Sent, metric.WithAttributes(kind, attribute.String("direction", "sent")))
+			o.Observe(f.Received, metric.WithAttributes(kind, attribute.String("direction", "received")))
+		},
+		"traffic_messages_total": func(o metric.Int64Observer, kind attribute.KeyValue, f Flow) {
+			o.Observe(f.Messages, metric.WithAttributes(kind))
+		},
+	} {
+		_, err := m.Int64ObservableCounter(name, metric.WithDescription(description(name)),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				for kind, f := range t.Flows() {
+					observe(o, attribute.String("kind", kind), f)
+				}
+				return nil
+			}))
+		if err != nil {
+			return fmt.Errorf("declare metric %q: %w", name, err)
+		}
+	}
+	return nil
+}
+
 func declareWorkGauges(m metric.Meter, gauges func() WorkGauges) error {
 	boolValue := func(b bool) float64 {
 		if b {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -48,6 +48,8 @@
 	lastStallCheck time.Duration
 	// waits holds the reports about waiting steps since the last call of TakeWaits.
 	waits []Wait
+	// waitingTasks is how many tasks could start and waited after the last pass.
+	waitingTasks int
 	// questions holds the questions decided on since the last call of TakeQuestions. questionsInFlight
 	// counts the questions without an answer, including these.
 	questions         []Question
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -30,8 +30,11 @@
 	clear(e.utilizations)
 	unplaceable := map[shape]bool{}
 	e.startsLeft = budget
-	for _, g := range e.readyGroups(now) {
+	groups := e.readyGroups(now)
+	defer func() { e.waitingTasks = countWaiting(groups) }()
+	for i, g := range groups {
 		if e.startsLeft <= 0 {
+			e.noteUnreached(groups[i:], now)
 			return true
 		}
 		if _, reserved := e.reservations[g.batch]; reserved {
@@ -57,6 +60,7 @@
 			continue
 		}
 		if g.step.Gang && len(g.waiting) > e.startsLeft && e.startsLeft < budget {
+			e.noteUnreached(groups[i:], now)
 			return true // the next pass places it first
 		}
 		if !e.place(g, now) {
@@ -67,6 +71,13 @@
 	return e.startsLeft <= 0
 }
 
+// countWaiting returns the number of tasks of the groups that still wait.
+func countWaiting(groups []*group) int {
+	return lo.SumBy(groups, func(g *group) int {
+		return lo.CountBy(g.waiting, func(i int) bool { return g.batch.Tasks[i].Phase == Waiting })
+	})
+}
+
 // recordUnplaced records that the group found no room: it claims the workers that it could use, or has some
 // vacated, and asks the adviser about others.
 func (e *Engine) recordUnplaced(g *group, now Moment) {
@@ -270,6 +281,8 @@
 	all := g.waiting
 	for _, i := range all {
 		if e.startsLeft <= 0 {
+			g.waiting = slices.DeleteFunc(slices.Clone(all), func(x int) bool { return g.batch.Tasks[x].Phase != Waiting })
+			e.noteWait(g, ForStarts, now)
 			return true // the next pass places the others
 		}
 		g.waiting = []int{i}
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -7,12 +7,14 @@
 
 // The reasons for which tasks wait. ForRoom means that no worker has the room, nor can preemption free it;
 // ForHeadroom that the free room is kept for guarantees; ForIsolation that a suspect awaits a worker on which
-// nothing else runs; TooLate that the result is no longer of use and
+// nothing else runs; ForStarts that as many tasks as the owner can send have been placed; TooLate that the result is
+// no longer of use and
 // other work needs the room.
 const (
 	ForRoom      WaitReason = "no room"
 	ForHeadroom  WaitReason = "room is kept for guarantees"
 	ForIsolation WaitReason = "no worker of its own after a crash"
+	ForStarts    WaitReason = "starts are limited"
 	TooLate      WaitReason = "too late to be of use"
 )
 
@@ -45,6 +47,18 @@
 	})
 }
 
+// noteUnreached records that the groups wait because the pass ended before it reached them.
+func (e *Engine) noteUnreached(groups []*group, now Moment) {
+	for _, g := range groups {
+		if _, reserved := e.reservations[g.batch]; !reserved {
+			e.noteWait(g, ForStarts, now)
+		}
+	}
+}
+
+// WaitingTasks returns the number of tasks that could start and waited after the last pass.
+func (e *Engine) WaitingTasks() int { return e.waitingTasks }
+
 // TakeWaits returns the reports about waiting steps since the last call.
 func (e *Engine) TakeWaits() []Wait {
 	out := e.waits
--- a/internal/sched/waits_test.go
+++ b/internal/sched/waits_test.go
@@ -7,6 +7,25 @@
 	"github.com/matryer/is"
 )
 
+// Guards against steps that wait unseen because passes end before they reach them.
+func TestWaitForStartsIsReported(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(4)
+	for _, id := range []string{"a", "b", "c"} {
+		add(e, id, "bulk", singleStep(4))
+	}
+	is.True(e.PassWithin(moment(0), 2))
+	is.Equal(e.WaitingTasks(), 10)
+	is.True(e.PassWithin(moment(time.Second), 1))
+	waiting := map[string]int{}
+	for _, w := range e.TakeWaits() {
+		is.Equal(w.Reason, ForStarts)
+		waiting[w.Step.Job] = w.Waiting
+	}
+	is.Equal(waiting, map[string]int{"a": 1, "b": 4, "c": 4})
+	is.Equal(e.WaitingTasks(), 9)
+}
+
 // Guards against work that waits without a line that says for what.
 func TestWaitIsReportedWithItsReason(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,6 +54,9 @@
 	IdleTimeout time.Duration
 	// Header is added to each request; it must not change after the first request.
 	Header map[string]string
+	// Count, if set, is called after each request that may have been sent, with its path and the bytes of the request
+	// and of the answer, headers included.
+	Count func(path string, sent, received int)
 	// Send, if set, replaces the network; its errors wrap ErrNotSent or ErrNoAnswer.
 	Send func(ctx context.Context, addr, method, path string, body []byte) (status int, answer []byte, err error)
 
@@ -169,7 +172,11 @@
 		req.Header.Set(name, value)
 	}
 	req.SetBody(data)
-	if err := c.host.DoDeadline(req, resp, c.deadline(ctx)); err != nil {
+	err := c.host.DoDeadline(req, resp, c.deadline(ctx))
+	if c.Count != nil && !notSent(err) {
+		c.Count(path, len(req.Header.Header())+len(data), len(resp.Header.Header())+len(resp.Body()))
+	}
+	if err != nil {
 		return 0, nil, c.sendError(err)
 	}
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
