sched: compress the records that the owner stores again and again

Cause: a record holds the state of all tasks of a job and is stored whole whenever one of them changes. Where the owner's link is full, the window of starts shrinks, a pass starts fewer tasks of a job at a time, and each of them costs more bytes of records: 428 for each start on an idle link, 5,062 with a window of 4. So the link carries the fewer starts the more it is asked for, and the owner does not come out of that by itself.

Ruled out: payloads of starts, holds.

Change: records of more than 512 bytes are compressed, fast instead of small, and with writers that are kept. 150 tasks take 539 instead of 2,536 bytes, with checkpoints 1,095 instead of 3,686; a new writer cost more than that.

Conclusion: removes most of what grows with scarcity. A record is still stored whole, so its bytes for each start still grow with the tasks of a job; the order in which work gets scarce starts is a fault of its own.

--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -247,7 +247,13 @@
 
 // submit stores a job as a node does.
 func (sim *simulation) submit(id, queue string, steps ...model.Step) {
-	work := &model.Work{ID: id, Workspace: "ws", Steps: steps, AcceptedMs: time.Now().UnixMilli()}
+	sim.submitWork(&model.Work{ID: id, Workspace: "ws", Steps: steps}, queue)
+}
+
+// submitWork stores a job as a node does that accepts it now.
+func (sim *simulation) submitWork(work *model.Work, queue string) {
+	id := work.ID
+	work.AcceptedMs = time.Now().UnixMilli()
 	for _, q := range sim.plan.get().Queues {
 		if q.Name == queue {
 			work.Queue = q
--- a/internal/sched/record.go
+++ b/internal/sched/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/klauspost/compress/gzip"
 
@@ -102,9 +103,9 @@
 }
 
 const (
-	// maxPlainRecord is the size in bytes up to which a record is stored as plain JSON. Longer ones are
-	// compressed, so that each fits into one row of the store.
-	maxPlainRecord = 16 << 10
+	// maxPlainRecord is the size in bytes up to which a record is stored as plain JSON. Longer ones are compressed:
+	// a record is stored again with each change of one of its tasks, and has to fit into one row of the store.
+	maxPlainRecord = 512
 	// maxRecord is the size in bytes of the largest record that a row of the store holds, in base64.
 	maxRecord = 48 << 10
 	// gzipMagic is the first byte of a compressed record; JSON never begins with it.
@@ -146,11 +147,15 @@
 	if err != nil || len(data) <= maxPlainRecord {
 		return data, err
 	}
-	var out bytes.Buffer
-	z, err := gzip.NewWriterLevel(&out, gzip.BestCompression)
-	if err != nil {
-		return nil, err
+	out := bytes.NewBuffer(make([]byte, 0, len(data)/2))
+	z, ok := gzipWriters.Get().(*gzip.Writer)
+	if !ok {
+		if z, err = gzip.NewWriterLevel(nil, gzip.BestSpeed); err != nil {
+			return nil, err
+		}
 	}
+	defer gzipWriters.Put(z)
+	z.Reset(out)
 	if _, err := z.Write(data); err != nil {
 		return nil, err
 	}
@@ -160,6 +165,9 @@
 	return out.Bytes(), nil
 }
 
+// gzipWriters holds writers for reuse, since a new one allocates far more than a record takes.
+var gzipWriters sync.Pool
+
 // DecodeRecord decodes and checks a stored record.
 func DecodeRecord(data []byte) (Record, error) {
 	var r Record
