relay, leader: let other nodes carry the owner's orders to workers

What callers saw: on large fleets accepted work waits on an idle fleet (LOST), as everything that it needs passes the link and the processor of one node.

Cause: the owner calls each worker itself, one call for each hold and start. On 3,000 workers these are 1,600 calls a second beside what it decides and records; on a link of 2 Mbit/s they share it with the records.

Change: an owner of more than 400 workers for each of its cores has the largest of the nodes that poll it carry the orders for a share of the workers, under its epoch. A carrier keeps no state that an owner relies on: holds and stops that it fails go directly, starts without an answer are handled as ever. It refuses orders that are older than a second by its own clock, which each message of it and the next batch of the owner carry, and acknowledges ends only to the incarnation that listed them. An owner whose last commit is older than a second sends starts itself.

Ruled out: carriers that keep leases by themselves; what they may still order would have to be known to the next owner.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -15,6 +15,7 @@
 	"greengageline/internal/leader"
 	"greengageline/internal/metric"
 	"greengageline/internal/peer"
+	"greengageline/internal/relay"
 	"greengageline/internal/rows"
 	"greengageline/pkg/model"
 )
@@ -49,6 +50,10 @@
 	// Follow returns the plan that is newer than version after, waiting up to wait for a
 	// change. With after 0 it reads the current plan.
 	Follow func(ctx context.Context, after uint64, wait time.Duration) (Change, error)
+	// Carrier carries the orders of an owner on another node; nil means that this node carries none.
+	Carrier *relay.Carrier
+	// CarryTraffic counts the bytes that streams to carriers exchange; nil disables counting.
+	CarryTraffic func(sent, received int)
 	// Meter counts calls; nil disables counting.
 	Meter *metric.Work
 	// MaxPlanAge is how long a plan may be used after it was confirmed to be the newest.
@@ -237,14 +242,20 @@
 
 type pulseRequest struct {
 	From string `json:"from"`
+	// Addr is the sender's address if it may carry the owner's orders, and then CarryCores are its cores.
+	Addr       string  `json:"addr,omitempty"`
+	CarryCores float64 `json:"carry,omitempty"`
 	// Cores is 0 if the sender could not own the work now.
 	Cores float64 `json:"cores"`
 }
 
 // Server returns the gRPC server that serves calls from other nodes.
 func (n *Node) Server() *grpc.Server {
-	return peer.NewServerWithMethods(
+	return peer.NewServerWithStreams([]grpc.StreamDesc{peer.Stream("Carry", n.serveCarry)},
 		peer.Method("Pulse", func(_ context.Context, in *pulseRequest) (*leader.Pulse, error) {
+			if in.Addr != "" {
+				n.Candidate.NotePeer(in.Addr, in.CarryCores)
+			}
 			p := n.Candidate.Pulse(in.Cores)
 			return &p, nil
 		}),
@@ -253,6 +264,32 @@
 	)
 }
 
+// serveCarry carries the orders of an owner until the stream ends.
+func (n *Node) serveCarry(s grpc.ServerStream) error {
+	if n.Carrier == nil {
+		return ErrNotReady
+	}
+	return n.Carrier.Serve(s.Context(), relay.Sink{
+		Recv: func(b *relay.Batch) error { return s.RecvMsg(b) },
+		Send: func(a *relay.Answers) error { return s.SendMsg(a) },
+	})
+}
+
+// OpenCarrier opens a stream to the carrier at addr. It is used as the Open field of a relay.Router.
+func (n *Node) OpenCarrier(ctx context.Context, addr string) (relay.Source, error) {
+	c := &peer.Client{Addr: addr, Traffic: n.CarryTraffic}
+	s, err := c.Stream(ctx, "Carry")
+	if err != nil {
+		c.Close()
+		return relay.Source{}, fmt.Errorf("open a stream to carrier %s: %w", addr, err)
+	}
+	context.AfterFunc(ctx, c.Close)
+	return relay.Source{
+		Send: func(b *relay.Batch) error { return s.SendMsg(b) },
+		Recv: func(a *relay.Answers) error { return s.RecvMsg(a) },
+	}, nil
+}
+
 // Ask exchanges heartbeats with the node at addr and returns its state. It is used as the Poll
 // field of a leader.Candidate.
 func (n *Node) Ask(ctx context.Context, addr string) (leader.Pulse, error) {
@@ -260,6 +297,9 @@
 	in := pulseRequest{From: n.Name}
 	if !n.storeFailing.Load() && n.checkPlanFresh() == nil {
 		in.Cores = n.Candidate.Cores // a node that cannot reach the store cannot own the work
+		if n.Carrier != nil && !n.Draining() {
+			in.Addr, in.CarryCores = n.Candidate.Addr, n.Candidate.Cores
+		}
 	}
 	err := n.call(ctx, addr, "Pulse", &in, &out)
 	return out, err
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -66,6 +66,8 @@
 	WaveTold       ID = 331
 	UpkeepOrdered  ID = 332
 	OwnerLoad      ID = 333
+	CarriersChosen ID = 334
+	CarrierDown    ID = 335
 	Placed         ID = 401
 	Evicted        ID = 402
 	Held           ID = 403
@@ -148,6 +150,8 @@
 	{WaveTold, "wave-told", zerolog.InfoLevel, "The operator is told that a wave goes on or is completed."},
 	{UpkeepOrdered, "upkeep-ordered", zerolog.InfoLevel, "The platform was told to take a VM into upkeep; the line gives the error if it did not."},
 	{OwnerLoad, "owner-load", zerolog.InfoLevel, "What the owner's node has exchanged since the last such line, by kind of message, with the tasks that wait for a start and the starts that may be in flight."},
+	{CarriersChosen, "carriers-chosen", zerolog.InfoLevel, "Other nodes carry the owner's orders to some of the workers; the line gives how many nodes and workers."},
+	{CarrierDown, "carrier-down", zerolog.WarnLevel, "A node that carries orders does not answer; the owner sends them to the workers directly for a while."},
 	{Placed, "placed", zerolog.InfoLevel, "A placement was decided; the line gives mode, workers and reason."},
 	{Evicted, "evicted", zerolog.InfoLevel, "A job is stopped to give its places back; the line gives the reason."},
 	{Held, "held", zerolog.InfoLevel, "Places are held for a blocked gang."},
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -256,7 +256,11 @@
 func (o *Owner) sendRelease() {
 	t := o.buildTxn()
 	t.release, t.row.Released = true, true
-	t.row.OrdersMs = max(0, o.earlierOrdersUntil-o.lead.now()).Milliseconds() + 1 // rounded up, and never 0
+	left := max(0, o.earlierOrdersUntil-o.lead.now())
+	if o.carried {
+		left = max(left, maxCarryTime)
+	}
+	t.row.OrdersMs = left.Milliseconds() + 1 // rounded up, and never 0
 	o.inFlight, o.inFlightRelease = true, true
 	o.txnSentAt.Store(int64(o.lead.now()))
 	o.spawn(func() { o.sendTxn(t) })
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -239,6 +239,9 @@
 	nodeCount, pollCount int
 	pollCountSince       time.Duration
 
+	// peers is guarded by mu. It has the nodes that have polled this one and may carry orders, by address.
+	peers map[string]peer
+
 	// The fields below belong to Run's goroutine. lastRow is the ownership row as last read; it has been
 	// unchanged since unchangedSince. Both are valid only if lastRowValid.
 	lastRow        rows.Row
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -258,9 +258,15 @@
 // invariant was violated.
 func runScenario(t *testing.T, sc scenario) {
 	t.Helper()
-	is := is.New(t)
 	sim, nodes, stop := startSimulation(4, 3)
 	defer stop()
+	sim.runScenario(t, sc, nodes)
+}
+
+// runScenario runs a scenario on a simulation that has been started.
+func (sim *simulation) runScenario(t *testing.T, sc scenario, nodes []*testNode) {
+	t.Helper()
+	is := is.New(t)
 	is.True(ownerOf(nodes) != nil) // a node owns the jobs
 	if sc.before != nil {
 		sc.before(sim, nodes)
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -108,6 +108,11 @@
 	earlierLease time.Duration
 	passDue      bool          // something changed that a scheduling pass must consider
 	nextPassAt   time.Duration // when the next pass may begin
+	// shares has the nodes that reach workers, as chosen at carriersAt; it is empty while this node reaches all itself.
+	shares     []share
+	carriersAt time.Duration
+	// carried is set once another node has carried orders.
+	carried bool
 	// loadReportedAt is when the load was last reported, with the traffic until then.
 	loadReportedAt time.Duration
 	reportedFlows  map[string]metric.Flow
@@ -263,6 +268,7 @@
 	}
 	o.purge()
 	o.planUpkeep()
+	o.chooseCarriers()
 	o.reportLoad()
 	o.passDue = true
 }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -45,6 +45,8 @@
 type session struct {
 	o     *Owner
 	entry orders.Entry
+	// carrier is the address of the node that carries orders to the worker; "" means that they are sent directly.
+	carrier string
 	// provenAddr is the address at which the worker answered last; "" before it has answered this owner.
 	provenAddr string
 	// rejectedAddr is the last other address in an entry of that incarnation.
@@ -102,7 +104,7 @@
 	s := o.sessions[e.ID]
 	if s == nil {
 		s = &session{
-			o: o, entry: e,
+			o: o, entry: e, carrier: shareOf(e.ID, o.shares),
 			lastStopAt:     map[sched.TaskRef]time.Duration{},
 			startsInFlight: map[sched.TaskRef]int64{}, unconfirmedStarts: map[sched.TaskRef]startOutcome{},
 			lostRuns: map[sched.TaskRef]lostRun{}, pendingStops: map[stopKey]bool{},
@@ -199,7 +201,8 @@
 // sendHold sends one hold; handling its answer sends the next.
 func (s *session) sendHold(wait time.Duration) {
 	o := s.o
-	in := orders.Hold{Epoch: o.epoch, Wait: wait}
+	e := s.target(carriedHoldAge)
+	in := orders.Hold{Epoch: o.epoch, Wait: wait, Incarnation: s.incarnation}
 	switch {
 	case s.mayAcknowledge():
 		in.Acked = s.durableEnd
@@ -214,11 +217,11 @@
 	sent := o.lead.now()
 	s.lastHoldAt = sent
 	if in.DeadlineMs > 0 {
-		s.leaseUntil = max(s.leaseUntil, sent+o.maxRunLife())
+		s.leaseUntil = max(s.leaseUntil, sent+carryTime(e)+o.maxRunLife())
 	}
 	s.holdsInFlight++
 	s.holdDue = false
-	e, timeout, to := s.entry, in.Wait+max(holdSlack, o.starts.timeout()), s.incarnation
+	timeout, to := in.Wait+max(holdSlack, o.starts.timeout()), s.incarnation
 	o.spawn(func() {
 		if !o.mayOrder() {
 			o.post(func() { s.holdsInFlight-- })
@@ -239,7 +242,13 @@
 // yet, and the hold reaches the incarnation that listed them. Another incarnation would forget ends of its own that
 // nobody has seen.
 func (s *session) mayAcknowledge() bool {
-	return s.hasUnacknowledgedEnds() && s.incarnationConfirmed && s.holdsInFlight == 0 && s.o.lead.now()-s.heldAt <= ackMaxAge
+	if !s.hasUnacknowledgedEnds() || s.holdsInFlight > 0 {
+		return false
+	}
+	if s.carrier != "" {
+		return s.incarnation != 0 // the carrier makes sure that this incarnation gets it
+	}
+	return s.incarnationConfirmed && s.o.lead.now()-s.heldAt <= ackMaxAge
 }
 
 // hasUnacknowledgedEnds reports whether ends are durable that no hold has acknowledged yet.
@@ -310,7 +319,7 @@
 	s.noteIncarnation(sent, out, now.Steady)
 	s.noteAnswer(now.Steady)
 	s.forgetLostRuns()
-	if in.to == s.incarnation {
+	if in.to == s.incarnation && !out.NotAcked {
 		s.ackedEnd = max(s.ackedEnd, in.Acked)
 	}
 	s.recordClock(out.ClockMs, now.Steady)
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -50,6 +50,8 @@
 	upkeepUntil  map[string]time.Duration
 	lastOrderBy  map[string]orderSource
 	upkeepOrders int
+	// network carries orders through other nodes; nil means that no node carries any.
+	network *carryNetwork
 }
 
 // orderSource is an owner that ordered the upkeep of a VM, and when.
@@ -279,6 +281,8 @@
 	*Candidate
 	cancel context.CancelFunc
 	done   chan struct{}
+	// leave ends what the node carries; nil means that it carries nothing.
+	leave func()
 }
 
 // startNodes creates and starts a node for each number of cores; the nodes poll each other.
@@ -311,9 +315,18 @@
 		sim.mu.Lock()
 		asked := sim.nodesByAddr[addr]
 		sim.mu.Unlock()
+		if sim.network != nil && !sim.network.isCut(name, addr) {
+			asked.NotePeer(name, l.Cores)
+		}
 		return asked.Pulse(l.Cores), nil
 	}
+	if sim.network != nil {
+		l.Fleet = sim.network.join(name, l.Fleet, sim.now)
+	}
 	n := &testNode{Candidate: l, done: make(chan struct{})}
+	if sim.network != nil {
+		n.leave = func() { sim.network.kill(name) }
+	}
 	sim.mu.Lock()
 	sim.nodesByAddr[name] = n
 	sim.mu.Unlock()
@@ -330,6 +343,9 @@
 
 // kill ends a node as a crash does: nothing of it is carried out any more.
 func (n *testNode) kill() {
+	if n.leave != nil {
+		n.leave()
+	}
 	n.cancel()
 	if o := n.lastOwner(); o != nil {
 		o.cancel()
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -52,10 +52,14 @@
 	if s.proven {
 		in.DeadlineMs = s.leaseDeadline()
 	}
+	e := s.target(carriedStartAge)
+	if in.DeadlineMs == 0 {
+		e = s.entry // the hold before it must be answered to this node
+	}
 	s.startsInFlight[order.Task] = order.Run
-	s.leaseUntil = max(s.leaseUntil, o.lead.now()+o.maxRunLife())
+	s.leaseUntil = max(s.leaseUntil, o.lead.now()+carryTime(e)+o.maxRunLife())
 	o.starts.inFlight++
-	e, sentAt, timeout, to := s.entry, o.lead.now(), o.starts.timeout(), s.reachedIncarnation()
+	sentAt, timeout, to := o.lead.now(), o.starts.timeout(), s.reachedIncarnation()
 	o.spawn(func() { o.callStart(s, e, in, to, sentAt, timeout) })
 }
 
@@ -84,7 +88,7 @@
 	at := o.lead.now()
 	o.post(func() {
 		o.recordStartTime(at-sentAt, at, err)
-		s.leaseUntil = max(s.leaseUntil, leaseFrom+o.maxRunLife())
+		s.leaseUntil = max(s.leaseUntil, leaseFrom+carryTime(e)+o.maxRunLife())
 		s.handleStart(in, to, clockMs, at, err)
 		o.sendReadyStarts()
 	})
--- a/internal/leader/stops.go
+++ b/internal/leader/stops.go
@@ -82,7 +82,7 @@
 	p.tries++
 	s.stopsInFlight++
 	s.lastStopAt[p.order.Task] = o.lead.now()
-	e, timeout := s.entry, o.starts.timeout()
+	e, timeout := s.target(carriedHoldAge), o.starts.timeout()
 	o.spawn(func() {
 		err := orders.ErrNotSent
 		if o.mayOrder() {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -52,6 +52,9 @@
 	StartedMs int64
 	// ClockMs is the worker's own clock in ms when it wrote the entry; 0 if unknown.
 	ClockMs int64
+	// Carrier is the address of the node that carries orders to the worker; if it is empty, they are sent directly.
+	// It is no part of what the platform lists.
+	Carrier string
 }
 
 // Hold extends the leases of all runs at a worker, acknowledges ended runs and waits for new ends.
@@ -61,6 +64,8 @@
 	DeadlineMs int64
 	// Acked is the number up to which ends are durable, so that the worker may forget them.
 	Acked int64
+	// Incarnation is the incarnation that listed the ends up to Acked, as its start time in Unix ms.
+	Incarnation int64
 	// Wait is how long the worker may wait for a run to end before it answers.
 	Wait time.Duration
 }
@@ -74,6 +79,8 @@
 	// lists once these are acknowledged.
 	Ended []Ended
 	More  bool
+	// NotAcked means that the hold was sent without acknowledging ends.
+	NotAcked bool
 }
 
 // Running is a run that the worker has, with its newest checkpoint and its progress in percent.
@@ -117,7 +124,7 @@
 // able to carry so many at a time.
 const MaxInFlight = 16
 
-// Fleet is the interface to the workers. Errors wrap one of the package's errors.
+// Fleet is the interface to the workers, which may go through other nodes. Errors wrap one of the package's errors.
 type Fleet struct {
 	// List reads the entries of all workers; entries that can't be parsed are left out.
 	List func(ctx context.Context) ([]Entry, error)
@@ -132,4 +139,6 @@
 	Advise func(ctx context.Context, step sched.TaskRef, workers []string) (Advice, error)
 	// Forget closes the connections to a worker that is gone.
 	Forget func(e Entry)
+	// Carries reports whether the node at addr may carry orders; nil means that none may.
+	Carries func(addr string) bool
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -44,11 +44,16 @@
 
 // NewServerWithMethods returns a gRPC server with the given methods. The caller starts it.
 func NewServerWithMethods(methods ...grpc.MethodDesc) *grpc.Server {
+	return NewServerWithStreams(nil, methods...)
+}
+
+// NewServerWithStreams returns a gRPC server with the given streams and methods. The caller starts it.
+func NewServerWithStreams(streams []grpc.StreamDesc, methods ...grpc.MethodDesc) *grpc.Server {
 	s := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	)
-	s.RegisterService(&grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil), Methods: methods}, nil)
+	s.RegisterService(&grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil), Methods: methods, Streams: streams}, nil)
 	return s
 }
 
@@ -66,9 +71,19 @@
 	}
 }
 
+// Stream returns the gRPC description of a stream in both directions, which ends when f returns.
+func Stream(name string, f func(grpc.ServerStream) error) grpc.StreamDesc {
+	return grpc.StreamDesc{
+		StreamName: name, ServerStreams: true, ClientStreams: true,
+		Handler: func(_ any, s grpc.ServerStream) error { return f(s) },
+	}
+}
+
 // Client calls the node at one address. The zero value with Addr set is ready to use.
 type Client struct {
 	Addr string
+	// Traffic is called with the bytes of each message of a stream, if it is set.
+	Traffic func(sent, received int)
 	// Invoke replaces the network call if it is set.
 	Invoke func(ctx context.Context, addr, method string, in, out any) error
 
@@ -83,7 +98,7 @@
 	if c.conn != nil {
 		return c.conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+c.Addr,
+	conn, err := grpc.NewClient("passthrough:///"+c.Addr, grpc.WithStatsHandler(traffic(c.Traffic)),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName), grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithNoProxy(), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
@@ -112,6 +127,19 @@
 	}
 }
 
+// Stream opens the named stream, which ends with ctx. Its error wraps ErrNotReached or ErrNoAnswer.
+func (c *Client) Stream(ctx context.Context, name string) (grpc.ClientStream, error) {
+	conn, err := c.connection()
+	if err != nil {
+		return nil, err
+	}
+	s, err := conn.NewStream(ctx, &grpc.StreamDesc{StreamName: name, ServerStreams: true, ClientStreams: true}, "/"+serviceName+"/"+name)
+	if err != nil {
+		return nil, fmt.Errorf("%s at %s: %w: %w", name, c.Addr, deliveryError(err), err)
+	}
+	return s, nil
+}
+
 // Ask calls the named method of the node. Its error wraps ErrNotReached or ErrNoAnswer.
 func (c *Client) Ask(ctx context.Context, name string, in, out any) error {
 	if c.Invoke != nil {
