sched: start work of which nothing runs while starts are few

Cause: a pass with a budget of starts places groups by rank and ends when the budget is used up.

Ruled out: want of room. Raising the rank of old work was not taken: it would take room from work in time on full pools.

Change: while passes end for want of starts, one start in four goes to the step that has had nothing running for longest, from one second on: one task, or a whole gang, which later starts pay back; each task of a long-running step by itself. Only where at most 55 % of the pool is in use; long-running work always. A gang larger than a pass waits until guaranteed work has its starts. Bound: with r starts a second, 1 s + 4(n+1)/r after something of it last ran, where n starts are due to work that has waited longer. Passes without a budget, and those that have enough starts, decide as before. Overdue work that finds no room asks the adviser after the work that ranks before it.

Not covered: pools over 55 % in use by the engine's count, which includes placed starts that are not sent yet, and gangs larger than a pass for as long as guaranteed work takes all starts.

--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -23,6 +23,11 @@
 	openJobs      []*Job // jobs that have not ended, sorted by compareAcceptance
 	// startsLeft is how many more tasks the present pass may start.
 	startsLeft int
+	// startsShort is set if the last pass ended for want of starts, and guaranteedUnreached if it did so before
+	// it had reached all guaranteed work.
+	startsShort, guaranteedUnreached bool
+	// overdueDebt is how many starts other groups get before the next one of startOverdue.
+	overdueDebt int
 	// lastRun is the run number given out last.
 	lastRun     int64
 	orders      []Order
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -26,6 +26,8 @@
 	// timeLeft is the time until the job's response-time goal, as a multiple of the time that its steps
 	// still take; below 1 it is late.
 	timeLeft float64
+	// overdue is set for tasks that start before their rank, as nothing of their step runs.
+	overdue bool
 	// yields is set for a group that must leave room to waiting groups that rank before it.
 	yields bool
 }
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -138,6 +138,14 @@
 			requireAdviser(l, 0.5, 3000)
 			l.failAdvice = 3
 		}),
+		"few starts": baseLoad().with(func(l *load) { l.startRate = 20 }),
+		"few starts, advised": baseLoad().with(func(l *load) {
+			requireAdviser(l, 0.5, 3000)
+			l.startRate = 30
+		}),
+		"few starts, urgent burst": baseLoad().with(func(l *load) {
+			l.startRate, l.bursts = 30, []burst{urgent}
+		}),
 		"roster":       rosterLoad(),
 		"visits":       manyCoresLoad(),
 		"visits burst": manyCoresLoad().with(func(l *load) { l.bursts = []burst{urgent} }),
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -29,8 +29,12 @@
 	clear(e.utilizations)
 	unplaceable := map[shape]bool{}
 	e.startsLeft = budget
-	groups := e.readyGroups(now)
-	defer func() { e.waitingTasks = countWaiting(groups) }()
+	groups, unplaced := e.startOverdue(e.readyGroups(now), now)
+	budget = e.startsLeft
+	defer func() {
+		e.waitingTasks = countWaiting(groups)
+		e.settleOverdue(unplaced, budget-e.startsLeft, more, now)
+	}()
 	for i, g := range groups {
 		if e.startsLeft <= 0 {
 			e.noteUnreached(groups[i:], now)
@@ -282,7 +286,7 @@
 	for len(rest) > 0 {
 		g.waiting = rest
 		if e.startsLeft <= 0 {
-			e.noteWait(g, ForStarts, now)
+			e.noteUnreached([]*group{g}, now)
 			return true // the next pass places the others
 		}
 		if g.differ() {
@@ -554,6 +558,8 @@
 // reason returns the reason for starting the group, for the log.
 func (g *group) reason() string {
 	switch {
+	case g.overdue:
+		return "nothing of it runs while starts are limited"
 	case g.guaranteed:
 		return "within its workspace's guarantee"
 	case g.lateness == tooLate:
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -48,6 +48,7 @@
 	confirmed, finished := t.Confirmed, t.percent >= completePercent
 	stopping := t.Stopping
 	e.removeFromWorker(ref, t, step)
+	t.endedAt = now.Steady
 	e.changedJobs[ref.Job] = true
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -55,6 +55,8 @@
 	advice     *model.Advice
 	allowed    float64
 	failAdvice int
+	// startRate is how many starts a second the owner can send; 0 means any number.
+	startRate float64
 }
 
 // burst multiplies the arrival rate of a kind by factor.
@@ -136,6 +138,9 @@
 	tickets   map[string]time.Duration
 	adviserAt time.Duration
 	questions int
+	// startsLeft is how many starts the owner can send now, as of startsAt.
+	startsLeft float64
+	startsAt   time.Duration
 }
 
 func newSim(l load, seed uint64) *sim {
@@ -275,10 +280,22 @@
 	s.violations = append(s.violations, fmt.Sprintf("%s: ", s.now)+fmt.Sprintf(format, args...))
 }
 
+// startBudget returns how many starts a pass may decide now: what the owner can send in a tenth of a second at most.
+func (s *sim) startBudget() int {
+	if s.startRate == 0 {
+		return math.MaxInt
+	}
+	s.startsLeft = min(s.startsLeft+(s.now-s.startsAt).Seconds()*s.startRate, s.startRate/10)
+	s.startsAt = s.now
+	return int(s.startsLeft)
+}
+
 // pass makes a pass of the engine and carries out its orders and questions.
 func (s *sim) pass() {
 	began := time.Now()
-	s.e.Pass(s.moment())
+	if n := s.startBudget(); n > 0 {
+		s.e.PassWithin(s.moment(), n)
+	}
 	s.passTime += time.Since(began)
 	s.passes++
 	s.e.TakeChanged()
@@ -292,6 +309,7 @@
 			continue
 		}
 		gangs[o.Run]++
+		s.startsLeft--
 		s.startRun(o)
 	}
 	for run, n := range gangs {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -82,6 +82,7 @@
 	percent     int
 	placedAt    time.Duration
 	confirmedAt time.Duration // when the run was confirmed
+	endedAt     time.Duration // when the last run ended; 0 if none has
 	// isolated is set for a run that has its worker to itself. survived is the longest time for which a
 	// worker had a run of the task before it crashed.
 	isolated    bool
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -47,10 +47,11 @@
 	})
 }
 
-// noteUnreached records that the groups wait because the pass ended before it reached them.
+// noteUnreached records that the groups wait because the pass ended before it reached all of their tasks.
 func (e *Engine) noteUnreached(groups []*group, now Moment) {
 	for _, g := range groups {
 		if _, reserved := e.reservations[g.batch]; !reserved {
+			e.guaranteedUnreached = e.guaranteedUnreached || g.guaranteed
 			e.noteWait(g, ForStarts, now)
 		}
 	}
