relay: hold a carrier down at once when a stream to it does not open

What was seen: TestCarrierThatIsDownIsLeftAlone failed in a run of all tests beside load, and in 1 to 2 of 300 runs by itself.

Cause: a stream that does not open ends in two places, and where the receiver came first, the carrier was marked as down only after the stream had been forgotten, or not at all. An order in between opened another stream.

Change: one place forgets the stream and marks the carrier, under the same lock.

--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -96,24 +96,22 @@
 	return s
 }
 
-// closed forgets a stream that has ended.
-func (r *Router) closed(s *stream) {
+// closed forgets a stream that ends. If it has not become ready, because of err, its carrier gets no orders for downTime.
+func (r *Router) closed(s *stream, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.streams[s.addr] == s {
-		delete(r.streams, s.addr)
+	if r.streams[s.addr] != s {
+		return
+	}
+	delete(r.streams, s.addr)
+	if s.isReady() {
+		return
 	}
-}
-
-// noteDown records that the carrier at addr could not be reached: it gets no orders for downTime.
-func (r *Router) noteDown(addr string, err error) {
-	r.mu.Lock()
 	if r.downUntil == nil {
 		r.downUntil = map[string]time.Duration{}
 	}
-	r.downUntil[addr] = r.now() + downTime
-	r.mu.Unlock()
-	r.Log.Emit(event.CarrierDown).Str("carrier", addr).Err(err).Send()
+	r.downUntil[s.addr] = r.now() + downTime
+	r.Log.Emit(event.CarrierDown).Str("carrier", s.addr).Err(err).Send()
 }
 
 // noteDetour records that the owner reaches a worker that the carrier did not reach.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -76,9 +76,7 @@
 	defer s.end()
 	src, err := s.open(ctx)
 	if err != nil {
-		if ctx.Err() == nil {
-			s.router.noteDown(s.addr, err)
-		}
+		s.endWith(err)
 		return
 	}
 	idle := time.NewTimer(idleStreamAge)
@@ -230,9 +228,12 @@
 }
 
 // end ends the stream.
-func (s *stream) end() {
+func (s *stream) end() { s.endWith(errSilent) }
+
+// endWith ends the stream; err is why, if it has not become ready.
+func (s *stream) endWith(err error) {
+	s.router.closed(s, err)
 	s.cancel()
-	s.router.closed(s)
 }
 
 // ask sends an order and waits for its answer until ctx or the stream ends. Its error is errNoCarrier, or errNotTaken
