leader: bound the starts of a pass by how long passes take

Cause: the window over the starts bounds what workers and link can take, not what a pass can decide in time. With a window of 542 a pass decided 1,084 starts in 2.54 s, later ones took 3.1 s. Meanwhile no hold is handled.

Ruled out as the main part: the constant part of a pass, some 0.1 s. Passes with about 200 logged starts take 1.0 to 1.4 s, those with up to 70 mostly 0.1 to 0.5 s.

Change: a pass decides as many starts as the last ones suggest fit into 250 ms, 32 at least; the bound doubles while passes that use it up are cheap.

TestPassesAreShort fails without the bound.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -149,7 +149,7 @@
 	{WaveAsked, "wave-asked", zerolog.InfoLevel, "An operator asks for the upkeep of some VMs; the line gives how many, how many at once, and the time."},
 	{WaveTold, "wave-told", zerolog.InfoLevel, "The operator is told that a wave goes on or is completed."},
 	{UpkeepOrdered, "upkeep-ordered", zerolog.InfoLevel, "The platform was told to take a VM into upkeep; the line gives the error if it did not."},
-	{OwnerLoad, "owner-load", zerolog.InfoLevel, "What the owner's node has exchanged since the last such line, by kind of message, with the tasks that wait for a start and the starts that may be in flight."},
+	{OwnerLoad, "owner-load", zerolog.InfoLevel, "What the owner's node has exchanged since the last such line, by kind of message, with the tasks that wait for a start, the starts that may be in flight, and the longest scheduling pass."},
 	{CarriersChosen, "carriers-chosen", zerolog.InfoLevel, "Other nodes carry the owner's orders to some of the workers; the line gives how many nodes and workers."},
 	{CarrierDown, "carrier-down", zerolog.WarnLevel, "A node that carries orders does not answer; the owner sends them to the workers directly for a while."},
 	{Placed, "placed", zerolog.InfoLevel, "A placement was decided; the line gives mode, workers and reason."},
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -24,7 +24,7 @@
 	line := o.lead.Log.Emit(event.OwnerLoad).Int64("epoch", o.epoch).Int64("ms", since.Milliseconds()).
 		Int("waiting", o.engine.WaitingTasks()).Int("window", o.starts.size()).Int("in_flight", o.starts.inFlight).
 		Int("backlog", len(o.pendingStarts)+len(o.readyStarts)).Int64("answer_ms", o.starts.smoothed.Milliseconds()).
-		Int64("commit_ms", o.lastTxnTook.Milliseconds())
+		Int64("commit_ms", o.lastTxnTook.Milliseconds()).Int64("pass_ms", o.longestPass.Milliseconds())
 	kinds := lo.Keys(flows)
 	slices.Sort(kinds)
 	for _, kind := range kinds {
@@ -32,5 +32,5 @@
 		line = line.Ints64(kind, []int64{f.Messages, f.Sent, f.Received})
 	}
 	line.Send()
-	o.loadReportedAt, o.reportedFlows = now, flows
+	o.loadReportedAt, o.reportedFlows, o.longestPass = now, flows, 0
 }
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -79,6 +79,7 @@
 	pendingStarts  []sched.Order                  // starts whose records are not durable yet
 	readyStarts    []sched.Order                  // starts whose records are durable, not sent yet
 	starts         startWindow                    // bounds the starts in flight
+	passes         passLimit                      // bounds the starts that a pass decides
 	dirtyJobs      map[string]bool                // jobs whose records changed since they were last put into a transaction
 	pendingDeletes []rows.Row                     // rows to delete in a later transaction
 	rowVersion     uint64                         // of the ownership row; it changes only while no transaction is in flight
@@ -115,7 +116,9 @@
 	carried bool
 	// loadReportedAt is when the load was last reported, with the traffic until then.
 	loadReportedAt time.Duration
-	reportedFlows  map[string]metric.Flow
+	// longestPass is the longest scheduling pass since then.
+	longestPass   time.Duration
+	reportedFlows map[string]metric.Flow
 }
 
 // startOutcome records since when it is certain that a worker knows a run, or since when it is uncertain
@@ -279,12 +282,17 @@
 // next transaction.
 func (o *Owner) decide() {
 	budget := o.starts.budget(len(o.pendingStarts) + len(o.readyStarts))
+	var took time.Duration
 	if began := o.lead.now(); o.passDue && budget > 0 && o.rebuilt.Load() && began >= o.nextPassAt && !o.releasing && o.planVersion != 0 && o.mayStart() && !o.txnStuck(began) {
-		o.passDue = o.engine.PassWithin(o.moment(), budget)
+		o.passDue = o.engine.PassWithin(o.moment(), o.passes.bound(budget))
 		now := o.lead.now()
 		o.nextPassAt = now + min(passRestFactor*(now-began), tickInterval)
+		took = now - began
+		o.longestPass = max(o.longestPass, took)
 	}
-	for _, order := range o.engine.TakeOrders() {
+	decided := o.engine.TakeOrders()
+	o.passes.record(lo.CountBy(decided, func(order sched.Order) bool { return !order.Stop }), took)
+	for _, order := range decided {
 		if order.Stop {
 			o.lead.Metrics.runStopped(order.Priority, o.lead.now()-order.PlacedAt)
 			o.sendStop(order)
--- a/internal/leader/window.go
+++ b/internal/leader/window.go
@@ -26,6 +26,11 @@
 	maxOrderTimeout = 2 * time.Second
 	// backlogFactor times the window may be decided but not sent yet.
 	backlogFactor = 2
+	// maxPassTime is how long a scheduling pass should take at most: while it lasts the owner handles no answers, and a
+	// lease allows for a few holds that are handled late. minPassStarts is the least number of starts that a pass may
+	// decide.
+	maxPassTime   = 250 * time.Millisecond
+	minPassStarts = 32
 )
 
 // startWindow bounds the starts that are in flight to all workers together, by the time that their answers take:
@@ -91,3 +96,26 @@
 func (w *startWindow) timeout() time.Duration {
 	return min(max(orderTimeout, timeoutFactor*w.smoothed), maxOrderTimeout)
 }
+
+// passLimit bounds the starts that a scheduling pass may decide, by how long earlier passes took. The zero value sets no
+// bound.
+type passLimit struct{ starts int }
+
+// bound returns how many of budget starts the next pass may decide.
+func (l *passLimit) bound(budget int) int {
+	if l.starts == 0 {
+		return budget
+	}
+	return min(budget, l.starts)
+}
+
+// record records that a pass has decided a number of starts and took a time. A pass that takes too long for other causes
+// than its starts still has minPassStarts.
+func (l *passLimit) record(starts int, took time.Duration) {
+	switch {
+	case took > maxPassTime:
+		l.starts = max(minPassStarts, int(float64(starts)*float64(maxPassTime)/float64(took)))
+	case took < maxPassTime/2 && l.starts > 0 && starts >= l.starts:
+		l.starts = min(2*l.starts, backlogFactor*maxWindow)
+	}
+}
--- a/internal/leader/window_test.go
+++ b/internal/leader/window_test.go
@@ -153,3 +153,47 @@
 	o.sendReadyStarts()
 	is.Equal(len(o.readyStarts), 0) // the order has no placed task any more and is dropped
 }
+
+// Guards against passes of several seconds, in which leases lapse because no answer of a worker is handled.
+func TestPassesAreShort(t *testing.T) {
+	for name, perStart := range map[string]time.Duration{
+		"starts that cost much":   2300 * time.Microsecond,
+		"starts that cost more":   6 * time.Millisecond,
+		"starts that cost little": 20 * time.Microsecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w, p := startWindow{}, passLimit{}
+			var now, longest time.Duration
+			decided := 0
+			for range 60 {
+				n := p.bound(w.budget(0))
+				took := 20*time.Millisecond + time.Duration(n)*perStart
+				longest = max(longest, took)
+				p.record(n, took)
+				now += took
+				decided += n
+				for range w.size() { // all are answered promptly, so that the window grows
+					w.inFlight++
+					w.answered(time.Millisecond, now)
+				}
+			}
+			is.True(longest < 2*maxPassTime)
+			is.Equal(w.size(), maxWindow)
+			is.True(perStart > time.Millisecond || p.bound(w.budget(0)) == w.budget(0)) // cheap passes have no bound
+			is.True(time.Duration(decided)*perStart > now/2)                            // most of the time goes to starts
+		})
+	}
+}
+
+// A pass that was slow once must not bound the starts for long.
+func TestPassLimitGrowsAgain(t *testing.T) {
+	is := is.New(t)
+	p := passLimit{}
+	p.record(1000, 10*time.Second)
+	is.Equal(p.bound(1000), minPassStarts)
+	for range 6 {
+		p.record(p.bound(1000), 10*time.Millisecond)
+	}
+	is.Equal(p.bound(1000), 1000)
+}
