leader: store records in the order in which they changed

Where more change than transactions take, those with high ids are never stored, and their starts never sent.

Change: the ids are kept in the order in which the jobs changed.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -93,19 +93,15 @@
 	return t
 }
 
-// addRecords adds the changed records to the transaction, up to the store's limits.
+// addRecords adds the changed records to the transaction, up to the store's limits, in the order in which they changed.
 func (o *Owner) addRecords(t *pendingTxn) {
-	ids := make([]string, 0, len(o.dirtyJobs))
-	for id := range o.dirtyJobs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	size := 0
+	size, done := 0, 0
 	var record sched.Record
-	for _, id := range ids {
+	for _, id := range o.dirtyOrder {
 		j := o.engine.Job(id)
 		if j == nil {
 			delete(o.dirtyJobs, id)
+			done++
 			continue
 		}
 		record.SetTo(j)
@@ -116,6 +112,7 @@
 		if err != nil {
 			o.lead.Log.Emit(event.RowCorrupt).Str("table", RecordTable).Str("key", id).Err(err).Send()
 			delete(o.dirtyJobs, id)
+			done++
 			continue
 		}
 		if len(t.txn.Put) >= maxTxnEntries-2 || size+len(value) > maxTxnBytes {
@@ -127,7 +124,9 @@
 			t.finals[id] = j.Final
 		}
 		delete(o.dirtyJobs, id)
+		done++
 	}
+	o.dirtyOrder = o.dirtyOrder[done:]
 }
 
 // addStarts moves to the transaction the pending starts whose records it holds or that are durable already.
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -81,6 +81,7 @@
 	starts         startWindow                    // bounds the starts in flight
 	passes         passLimit                      // bounds the starts that a pass decides
 	dirtyJobs      map[string]bool                // jobs whose records changed since they were last put into a transaction
+	dirtyOrder     []string                       // the ids in dirtyJobs, those that have waited longest first
 	pendingDeletes []rows.Row                     // rows to delete in a later transaction
 	rowVersion     uint64                         // of the ownership row; it changes only while no transaction is in flight
 	inFlight       bool                           // a transaction is in flight
@@ -318,7 +319,10 @@
 // collectChanged collects the jobs whose records changed, for the next transaction.
 func (o *Owner) collectChanged() {
 	for _, id := range o.engine.TakeChanged() {
-		o.dirtyJobs[id] = true
+		if !o.dirtyJobs[id] {
+			o.dirtyJobs[id] = true
+			o.dirtyOrder = append(o.dirtyOrder, id)
+		}
 	}
 }
 
