leader: acknowledge ends whose records are stored while others wait

What callers would see: ends that are not taken note of, and an owner whose link fills with them, as each hold lists all of them again.

Cause: ends were covered by a transaction only if no changed record was left. Where more records change than transactions take there is always one left.

Change: a transaction covers the ends of a worker up to the first whose job has a record that is neither stored nor in it. An end is still acknowledged only once the record that tells of it is durable.

--- a/internal/leader/backlog_test.go
+++ b/internal/leader/backlog_test.go
@@ -58,3 +58,39 @@
 		is.Equal(later, 0)
 	})
 }
+
+// Guards against ends that are never acknowledged, and listed again by each hold, while records wait for the store.
+func TestEndsAreAcknowledgedWhileRecordsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sim, _, stop := startSimulation(8, 1)
+		defer stop()
+		sim.store.mu.Lock()
+		sim.store.txnTime = 300 * time.Millisecond
+		sim.store.mu.Unlock()
+		sim.setRunTime(300 * time.Millisecond)
+		count := func() (ended, acked int) {
+			for _, m := range sim.workers {
+				m.mu.Lock()
+				ended += int(m.lastEnd)
+				acked += int(m.lastEnd) - len(m.ended)
+				m.mu.Unlock()
+			}
+			return ended, acked
+		}
+		n := 0
+		for s := range 10 {
+			for range 100 {
+				for range 3 {
+					sim.submit(fmt.Sprintf("j%06d", n), "bulk", smallTasks(1))
+					n++
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			ended, acked := count()
+			t.Logf("%d s: %d submitted, %d ended, %d acknowledged", s+1, n, ended, acked)
+		}
+		ended, acked := count()
+		is.True(acked > ended/2)
+	})
+}
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -71,8 +71,8 @@
 	return false
 }
 
-// buildTxn returns the next transaction: changed records up to the store's limits, and, once no changed
-// record is left, the ends to acknowledge and the rows to delete.
+// buildTxn returns the next transaction: changed records up to the store's limits, the ends that they cover, and, once
+// no changed record is left, the rows to delete.
 func (o *Owner) buildTxn() *pendingTxn {
 	t := &pendingTxn{row: o.row, finals: map[string]sched.State{}, ackedEnds: map[*session]endMark{}}
 	t.row.N++
@@ -80,12 +80,12 @@
 	o.addWaveRows(t)
 	o.addRecords(t)
 	o.addStarts(t)
-	if len(o.dirtyJobs) == 0 {
-		for _, s := range o.sessions {
-			if s.seenEnd > s.durableEnd {
-				t.ackedEnds[s], s.coveredEnd = endMark{s.incarnation, s.seenEnd}, s.seenEnd
-			}
+	for _, s := range o.sessions {
+		if s.coverEnds() {
+			t.ackedEnds[s] = endMark{s.incarnation, s.coveredEnd}
 		}
+	}
+	if len(o.dirtyJobs) == 0 {
 		if n := min(len(o.pendingDeletes), maxTxnEntries-2-len(t.txn.Put)); n > 0 {
 			t.txn.Delete, o.pendingDeletes = o.pendingDeletes[:n:n], o.pendingDeletes[n:]
 		}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -71,12 +71,14 @@
 	// incarnation listed, coveredEnd the highest that a sent transaction covers, durableEnd the highest that is
 	// durable.
 	seenEnd, coveredEnd, durableEnd int64
-	silent                          bool
-	probePause                      time.Duration // time until the next hold to the silent worker, if nothing runs there
-	proven                          bool          // the worker has answered this owner
-	reported                        bool          // that it has never answered has been logged
-	lastHoldAt                      time.Duration // when the last hold was sent
-	answeredAt                      time.Duration // when the worker last answered a hold or a start
+	// uncovered has the ends after coveredEnd in order.
+	uncovered  []uncoveredEnd
+	silent     bool
+	probePause time.Duration // time until the next hold to the silent worker, if nothing runs there
+	proven     bool          // the worker has answered this owner
+	reported   bool          // that it has never answered has been logged
+	lastHoldAt time.Duration // when the last hold was sent
+	answeredAt time.Duration // when the worker last answered a hold or a start
 	// outOfTouch is set from the first call that failed since then; disconnected says that the worker closed
 	// the connection in that call.
 	outOfTouch, disconnected bool
@@ -99,6 +101,25 @@
 	lostRuns map[sched.TaskRef]lostRun
 }
 
+// uncoveredEnd is an end that no transaction covers yet: its number, and the job whose record has to be stored.
+type uncoveredEnd struct {
+	seq int64
+	job string
+}
+
+// coverEnds moves coveredEnd to the last end before the first whose job's record is not stored, nor in the transaction
+// that is being built, and reports whether it moved.
+func (s *session) coverEnds() bool {
+	before := s.coveredEnd
+	n := 0
+	for n < len(s.uncovered) && !s.o.dirtyJobs[s.uncovered[n].job] {
+		s.coveredEnd = s.uncovered[n].seq
+		n++
+	}
+	s.uncovered = s.uncovered[n:]
+	return s.coveredEnd > before
+}
+
 // session returns the worker's session and creates it if there is none.
 func (o *Owner) session(e orders.Entry) *session {
 	s := o.sessions[e.ID]
@@ -262,6 +283,7 @@
 			s.loseRestartedRuns(sent, out)
 			s.o.lead.Log.Emit(event.WorkerReborn).Str("worker", s.entry.ID).Int64("born", out.StartedMs).Int64("before", s.incarnation).Send()
 			s.seenEnd, s.coveredEnd, s.durableEnd, s.ackedEnd = 0, 0, 0, 0
+			s.uncovered = nil
 			s.o.engine.ForgetAdvice(s.entry.ID)
 		}
 		s.incarnation, s.incarnationSince = out.StartedMs, now
@@ -338,6 +360,8 @@
 		s.sendHold(0) // extends the leases, which the last hold did not
 	case s.seenEnd == s.durableEnd && s.needsHold():
 		s.sendHold(s.o.holdWait())
+	case in.Acked < s.durableEnd && s.hasUnacknowledgedEnds():
+		s.sendHold(0)
 	}
 }
 
@@ -395,6 +419,7 @@
 		return
 	}
 	s.seenEnd = e.Seq
+	s.uncovered = append(s.uncovered, uncoveredEnd{e.Seq, e.Task.Job})
 	delete(s.unconfirmedStarts, e.Task)
 	delete(s.lastStopAt, e.Task)
 	run, worker, placed := s.o.engine.CurrentRun(e.Task)
