rows: don't send copies of a large transaction beside it

What callers would see: an owner with a narrow link that stores nothing (LOST).

Cause: a transaction without an answer was sent again after 250 ms and given up after 2.5 s, whatever its size. On a link of 2 Mbit/s copies of 400 KB share the link, and none of them gets through in time.

Change: both times are longer by what the transaction takes at 1 Mbit/s. A small transaction is sent again as soon as before; after a lost request a large one is repeated later.

--- a/internal/rows/settle.go
+++ b/internal/rows/settle.go
@@ -99,6 +99,10 @@
 	if p.Timeout == 0 {
 		p.Timeout = defaultAttemptTimeout
 	}
+	// Copies of a large transaction share the link, so that none of them might get through in time.
+	transit := txn.transitTime()
+	p.Resend += transit
+	p.Timeout += transit
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &settlement{
@@ -109,6 +113,19 @@
 	return r.version, r.present, r.err
 }
 
+// slowLinkRate is the rate in bytes a second that a transaction is given on its way: half of the slowest link of the
+// users' deployments, 2 Mbit/s.
+const slowLinkRate = 125_000
+
+// transitTime returns how long the transaction takes on a slow link.
+func (t *Txn) transitTime() time.Duration {
+	n := 0
+	for _, r := range t.Put {
+		n += len(r.Value) * 4 / 3 // in base64
+	}
+	return time.Duration(n) * time.Second / slowLinkRate
+}
+
 // run sends attempts and probes until the outcome is known or ctx ends.
 func (c *settlement) run(ctx context.Context) attemptResult {
 	c.attempt()
