leader: let an owner reach more workers itself

Cause: 400 workers for each core of the owner was far below what an owner can reach since a pass searches workers once for a step. A carrier between owner and worker is one more machine that may fail, so it should be there only where it is needed.

Change: an owner reaches 2,500 workers a core itself, a carrier takes 1,000. The large site has no carriers then while a large node owns the work; 3,000 workers have, and 28,000 need them.

Ruled out: taking the carriers out again. An owner of 0.8 of a core does not reach 28,000 workers, and a small node that owns the work for a while does not reach 1,100.

--- a/internal/leader/carry.go
+++ b/internal/leader/carry.go
@@ -17,8 +17,8 @@
 const (
 	// directWorkersPerCore is how many workers an owner reaches itself for each of its cores; other nodes carry its
 	// orders to the others. carriedWorkersPerCore is how many a carrier takes for each of its cores, beside its callers.
-	directWorkersPerCore  = 400
-	carriedWorkersPerCore = 200
+	directWorkersPerCore  = 2500
+	carriedWorkersPerCore = 1000
 	// carrierSpare is how many times the workers that are to be carried the chosen carriers could take.
 	carrierSpare = 1.25
 	// carrierInterval is how often the owner chooses its carriers.
