relay, leader: keep acknowledgements, starts and crashes safe through carriers

What callers would see: an end that nobody has stored is forgotten and its task runs again (TWICE), a start that a node sends long after it was given, a task that crashes worker after worker (BUDGET), or an owner that spins.

- A late carried answer, after a change of the carrier, confirmed an incarnation for direct acknowledgements (TestLateCarriedAnswerForgetsNoEnds: a worker was told to forget three ends of which it had listed none), and so did direct holds of an old commit.
What counts now is how the answer came and where the hold goes.
- A carrier acknowledged after a call that met a restart, if an older answer came after it.
A failed call counts from when the answer was asked for, as with the owner.
- A suspended owner sent what waited in its queue as if it were fresh.
The time in the queue is measured on the boot clock.
Where an acknowledgement does not pass by the carrier, the next holds go directly.
- A crash under a carried worker was not counted, as the direct hold that followed found nobody.
The closed connection is kept as evidence.
The stand-in worker closed no kept connections before; a client meets that first, and then nobody.
- A stuck worker, or an error that is no text, ended the stream for all workers of the carrier.

Ruled out by the review: goroutines that are left over, memory of a small node, older builds as carriers.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -83,8 +83,10 @@
 	// the connection in that call.
 	outOfTouch, disconnected bool
 	holdsInFlight            int
-	// ackedEnd is the highest end whose acknowledgement the worker has answered.
-	ackedEnd int64
+	// ackedEnd is the highest end whose acknowledgement the worker has answered. ackDirectly is set while holds that
+	// acknowledge ends are sent without the carrier, by which an acknowledgement did not pass.
+	ackedEnd    int64
+	ackDirectly bool
 	// lastStopAt is when the stop of a run was last ordered. stops has the stops to send in order, pendingStops all
 	// that are queued, in flight or to be repeated.
 	lastStopAt    map[sched.TaskRef]time.Duration
@@ -223,9 +225,12 @@
 func (s *session) sendHold(wait time.Duration) {
 	o := s.o
 	e := s.target(carriedHoldAge)
+	if s.ackDirectly && s.hasUnacknowledgedEnds() {
+		e = s.entry
+	}
 	in := orders.Hold{Epoch: o.epoch, Wait: wait, Incarnation: s.incarnation}
 	switch {
-	case s.mayAcknowledge():
+	case s.mayAcknowledge(e):
 		in.Acked = s.durableEnd
 	case s.hasUnacknowledgedEnds():
 		in.Wait = 0 // the answer tells whether the next hold may acknowledge them
@@ -251,7 +256,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		out, err := o.lead.Fleet.Hold(ctx, e, in)
 		cancel()
-		o.post(func() { s.handleHold(heldCall{in, sent, to, e.Addr}, out, err) })
+		o.post(func() { s.handleHold(heldCall{in, sent, to, e.Addr, e.Carrier != ""}, out, err) })
 	})
 }
 
@@ -259,14 +264,14 @@
 // start again. After that a hold without acknowledgement comes first.
 const ackMaxAge = 100 * time.Millisecond
 
-// mayAcknowledge reports whether the next hold may acknowledge ends: there are any that no hold has acknowledged
+// mayAcknowledge reports whether the next hold, to e, may acknowledge ends: there are any that no hold has acknowledged
 // yet, and the hold reaches the incarnation that listed them. Another incarnation would forget ends of its own that
 // nobody has seen.
-func (s *session) mayAcknowledge() bool {
+func (s *session) mayAcknowledge(e orders.Entry) bool {
 	if !s.hasUnacknowledgedEnds() || s.holdsInFlight > 0 {
 		return false
 	}
-	if s.carrier != "" {
+	if e.Carrier != "" {
 		return s.incarnation != 0 // the carrier makes sure that this incarnation gets it
 	}
 	return s.incarnationConfirmed && s.o.lead.now()-s.heldAt <= ackMaxAge
@@ -308,6 +313,8 @@
 	sent time.Duration
 	to   int64
 	addr string
+	// carried means that a carrier may have brought the answer, which may be older than it seems then.
+	carried bool
 }
 
 // handleHold handles the outcome of a hold.
@@ -339,8 +346,14 @@
 		s.setSilent(false, nil)
 	}
 	s.noteIncarnation(sent, out, now.Steady)
+	if in.carried {
+		s.incarnationConfirmed = false
+	}
 	s.noteAnswer(now.Steady)
 	s.forgetLostRuns()
+	if in.Acked > 0 {
+		s.ackDirectly = out.NotAcked
+	}
 	if in.to == s.incarnation && !out.NotAcked {
 		s.ackedEnd = max(s.ackedEnd, in.Acked)
 	}
@@ -450,6 +463,8 @@
 	o := s.o
 	s.noteUncertain()
 	s.noteFailure(err)
+	triedDirectly := s.ackDirectly
+	s.ackDirectly = false
 	if errors.Is(err, orders.ErrFenced) {
 		s.o.lead.Log.Emit(event.LeadLost).Int64("epoch", s.o.epoch).Str("reason", "a worker has accepted orders of a later epoch").Send()
 		s.o.cancel()
@@ -468,7 +483,7 @@
 	now := o.lead.now()
 	ownDelay := o.starts.congested(now) && errors.Is(err, orders.ErrOutcomeUnknown) && now-s.answeredAt < maxOwnDelay
 	switch {
-	case !s.silent && !ownDelay:
+	case !s.silent && !ownDelay && !triedDirectly: // the carrier may reach it
 		s.setSilent(true, err)
 	case s.silent && !s.proven && !s.reported:
 		s.reported = true
--- a/internal/leader/worker_test.go
+++ b/internal/leader/worker_test.go
@@ -78,6 +78,8 @@
 	switch {
 	case m.replaced.get():
 		return orders.ErrOtherIncarnation
+	case m.crashed.get() && m.dropConnection(node):
+		return errClosed // the first order goes over a connection that was kept
 	case m.crashed.get():
 		return orders.ErrNotSent
 	case m.dead.get():
@@ -148,6 +150,15 @@
 	return false
 }
 
+// dropConnection forgets the node's connection and reports whether it had one.
+func (m *fakeWorker) dropConnection(node string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.connected[node]
+	delete(m.connected, node)
+	return ok
+}
+
 // clock returns the worker's clock in ms.
 func (m *fakeWorker) clock() int64 { return (m.sim.now() + m.clockOffset).Milliseconds() + 1000 }
 
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -52,10 +53,10 @@
 // contact is what a carrier knows of a worker.
 type contact struct {
 	entry orders.Entry
-	// incarnation answered at heldAt. It is 0 after a call that failed, since the next may reach another one.
-	incarnation int64
-	heldAt      time.Duration
-	usedAt      time.Duration
+	// incarnation answered at heldAt. It is 0 after a call that failed, at failedAt, since the next may reach another one.
+	incarnation      int64
+	heldAt, failedAt time.Duration
+	usedAt           time.Duration
 }
 
 func (c *Carrier) now() time.Duration {
@@ -168,9 +169,9 @@
 		}
 	}
 	if err != nil {
-		a.Code, a.Message = errorCode(err), fmt.Sprintf("%.200s", err.Error())
+		a.Code, a.Message = errorCode(err), strings.ToValidUTF8(fmt.Sprintf("%.200s", err.Error()), "?")
 		if o.Kind == HoldKind || !orders.HadNoEffect(err) {
-			c.noteReply(w, 0)
+			c.noteFailure(w)
 		}
 	}
 	return a
@@ -185,7 +186,7 @@
 		first := in
 		first.Acked, first.Wait = 0, 0
 		reply, err := c.callHold(ctx, e, w, first)
-		if err != nil || reply.StartedMs != o.Incarnation || !fresh() {
+		if err != nil || !c.heldLately(w, o.Incarnation) || !fresh() {
 			reply.NotAcked = true
 			return reply, err
 		}
@@ -195,9 +196,10 @@
 
 // callHold sends one hold and records which incarnation answered.
 func (c *Carrier) callHold(ctx context.Context, e orders.Entry, w *contact, in orders.Hold) (orders.HoldReply, error) {
+	asked := c.now()
 	reply, err := c.Fleet.Hold(ctx, e, in)
 	if err == nil {
-		c.noteReply(w, reply.StartedMs)
+		c.noteReply(w, reply.StartedMs, asked)
 	}
 	return reply, err
 }
@@ -219,11 +221,21 @@
 	return w
 }
 
-// noteReply records the incarnation that answered; 0 means that the next call may reach another one.
-func (c *Carrier) noteReply(w *contact, incarnation int64) {
+// noteReply records the incarnation that answered a hold sent at asked, unless a call that failed since may have met a
+// restart.
+func (c *Carrier) noteReply(w *contact, incarnation int64, asked time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w.incarnation, w.heldAt = incarnation, c.now()
+	if asked > w.failedAt {
+		w.incarnation, w.heldAt = incarnation, c.now()
+	}
+}
+
+// noteFailure records that the next call may reach another incarnation.
+func (c *Carrier) noteFailure(w *contact) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.incarnation, w.failedAt = 0, c.now()
 }
 
 // heldLately reports whether the incarnation has answered within ackMaxAge and no call has failed since.
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -76,6 +76,19 @@
 	if e.Carrier == "" {
 		return nil
 	}
+	s := r.stream(e)
+	if s == nil || !s.isReady() {
+		return nil
+	}
+	if s.isSilent() {
+		s.end() // the next order opens another one
+		return nil
+	}
+	return s
+}
+
+// stream returns the stream to the carrier of a worker, or nil if orders for the worker are to be sent directly.
+func (r *Router) stream(e orders.Entry) *stream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -90,9 +103,6 @@
 		}
 		r.streams[e.Carrier] = s
 	}
-	if !s.isReady() {
-		return nil
-	}
 	return s
 }
 
@@ -144,17 +154,16 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		o.TimeoutMs = max(1, (time.Until(deadline) - answerMargin).Milliseconds())
 	}
-	sent := r.now()
 	a, err := s.ask(ctx, o, payload)
 	if err == nil {
 		return a, a.err()
 	}
-	if !errors.Is(ctx.Err(), context.Canceled) && s.lastHeard() < sent {
-		s.end() // the stream may have gone silent; the next order opens another one
-	}
 	return a, err
 }
 
+// isOld reports whether an order that was given at a time may no longer be sent.
+func (r *Router) isOld(given time.Duration) bool { return r.now()-given > MaxAge+MaxQueueAge }
+
 // hold implements orders.Fleet.Hold. A hold that fails by its carrier is sent directly, without acknowledging ends: the
 // worker must not be taken for silent because its carrier is lost, or does not reach it.
 func (r *Router) hold(ctx context.Context, e orders.Entry, in orders.Hold) (orders.HoldReply, error) {
@@ -162,6 +171,7 @@
 	if s == nil {
 		return r.holdDirectly(ctx, e, in)
 	}
+	given := r.now()
 	carried, cancel := r.limit(ctx, in.Wait)
 	a, err := r.ask(carried, s, Order{
 		Kind: HoldKind, Worker: e.ID, Addr: e.Addr, Epoch: in.Epoch, DeadlineMs: in.DeadlineMs, Acked: in.Acked,
@@ -171,15 +181,22 @@
 	if err == nil {
 		return a.holdReply(), nil
 	}
-	if ctx.Err() != nil || errors.Is(err, orders.ErrFenced) || errors.Is(err, orders.ErrOtherIncarnation) {
+	if ctx.Err() != nil || orders.HadNoEffect(err) && !errors.Is(err, orders.ErrNotSent) {
 		return orders.HoldReply{}, err
 	}
 	in.Wait = 0
-	reply, err := r.holdDirectly(ctx, e, in)
-	if err == nil && s.alive() {
+	if r.isOld(given) {
+		in.DeadlineMs = 0
+	}
+	reply, directErr := r.holdDirectly(ctx, e, in)
+	switch {
+	case directErr == nil && s.alive():
 		r.noteDetour(e)
+	case directErr != nil && errors.Is(err, orders.ErrDisconnected):
+		// That the worker closed the connection tells more than that it can't be reached since.
+		return reply, fmt.Errorf("%w; before, by the carrier: %w", directErr, err)
 	}
-	return reply, err
+	return reply, directErr
 }
 
 // holdDirectly sends a hold to the worker. It acknowledges nothing to a worker that has a carrier: the carrier would
@@ -210,11 +227,12 @@
 	if s == nil {
 		return r.Direct.Start(ctx, e, in)
 	}
+	given := r.now()
 	a, err := r.ask(ctx, s, Order{
 		Kind: StartKind, Worker: e.ID, Addr: e.Addr, Epoch: in.Epoch, DeadlineMs: in.DeadlineMs, Task: newTask(in.Task), Run: in.Run,
 		Checkpoint: in.Checkpoint, Ticket: in.Ticket,
 	}, in.Payload)
-	if errors.Is(err, orders.ErrNotSent) && ctx.Err() == nil {
+	if errors.Is(err, orders.ErrNotSent) && ctx.Err() == nil && !r.isOld(given) {
 		return r.Direct.Start(ctx, e, in)
 	}
 	return a.ClockMs, err
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,6 +17,8 @@
 	MaxQueueAge = 500 * time.Millisecond
 	// openTimeout bounds the time until the first message of a stream.
 	openTimeout = 2 * time.Second
+	// silentAge is how long a carrier that is alive lets pass without a message at most.
+	silentAge = 3 * tickInterval
 	// idleStreamAge is how long a stream without orders is kept.
 	idleStreamAge = 10 * time.Second
 )
@@ -29,8 +31,9 @@
 
 // outgoing is an order that waits to be sent, with its payload.
 type outgoing struct {
-	order   Order
-	payload string
+	order    Order
+	payload  string
+	queuedAt time.Duration // on the owner's clock
 }
 
 // stream carries orders to one carrier and their answers back.
@@ -135,7 +138,7 @@
 	payloads := map[string]int{}
 	size := 0
 	add := func(o outgoing) {
-		if !s.noteSent(o.order.N) {
+		if !s.noteSent(o) {
 			return
 		}
 		if o.order.Kind == StartKind {
@@ -164,16 +167,18 @@
 	return b
 }
 
-// noteSent records that an order leaves this node, and reports false if its caller no longer waits for it. It must not
-// leave then, because the time of its batch would not be the time when it was given.
-func (s *stream) noteSent(n uint64) bool {
+// noteSent records that an order leaves this node, and reports false if its caller no longer waits for it or would not
+// if this node had not been suspended. It must not leave then, because the time of its batch would not be the time when
+// it was given.
+func (s *stream) noteSent(o outgoing) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.waiting[n]
-	if c != nil {
-		c.sent = true
+	c := s.waiting[o.order.N]
+	if c == nil || s.router.now()-o.queuedAt > MaxQueueAge {
+		return false
 	}
-	return c != nil
+	c.sent = true
+	return true
 }
 
 // orderBytes is about how many bytes an order takes.
@@ -207,6 +212,9 @@
 	return s.heardAt
 }
 
+// isSilent reports whether the carrier has sent nothing for longer than it does while it is alive.
+func (s *stream) isSilent() bool { return s.router.now()-s.lastHeard() > silentAge }
+
 // isReady reports whether orders may be sent.
 func (s *stream) isReady() bool {
 	select {
@@ -247,7 +255,7 @@
 	queued := time.NewTimer(MaxQueueAge)
 	defer queued.Stop()
 	select {
-	case s.queue <- outgoing{o, payload}:
+	case s.queue <- outgoing{o, payload, s.router.now()}:
 	default:
 		return s.giveUp(o.N, c)
 	}
