leader, drill: tests of holds beside carriers that fail

Ruled out as trials in the drill, before the fix: with the acknowledgement left in the hold, and with carriers that reach the workers, there were few holds.

--- a/internal/leader/carry_test.go
+++ b/internal/leader/carry_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -336,6 +337,31 @@
 	}
 }
 
+// Guards against an owner that sends hold after hold to a worker that lists ends, as long as its carrier does not reach it.
+func TestOwnerSendsFewHoldsWhileCarriersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim, nodes, stop := startCarried(4, 3)
+		defer stop()
+		owner := ownerOf(nodes).Node
+		var sent atomic.Int64
+		for _, w := range sim.workers {
+			w.unreachable.set(func(node string) bool {
+				if node == owner {
+					sent.Add(1)
+				}
+				return node != owner
+			})
+		}
+		sim.submit("short", "bulk", oneGPU(12))
+		time.Sleep(8 * time.Second)
+		const most = 4 * 8 * 10 // ten a second for each of four workers
+		if n := sent.Load(); n > most {
+			t.Errorf("the owner has sent %d orders itself within 8 s, want at most %d", n, most)
+		}
+		sim.checkCarried(t)
+	})
+}
+
 // Guards against starts that a node sends for an owner that may be cut off from the store.
 func TestOrdersOfAnOldCommitAreNotCarried(t *testing.T) {
 	is := is.New(t)
@@ -352,3 +378,29 @@
 	now += carriedHoldAge
 	is.Equal(s.target(carriedHoldAge).Carrier, "")
 }
+
+// Guards against ends that a restarted worker forgets unseen, where a hold that acknowledges ends is no longer carried.
+func TestHoldOfAnOldCommitAcknowledgesNothingUnconfirmed(t *testing.T) {
+	for name, carrier := range map[string]string{"with a carrier": "c:1", "without": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Minute
+			sent := make(chan orders.Hold, 1)
+			l := &Candidate{Now: func() time.Duration { return now }, Fleet: &orders.Fleet{
+				Hold: func(_ context.Context, e orders.Entry, in orders.Hold) (orders.HoldReply, error) {
+					is.Equal(e.Carrier, "") // the hold is sent directly
+					sent <- in
+					return orders.HoldReply{}, orders.ErrOutcomeUnknown
+				},
+			}}
+			o := newOwner(l, ownership{Epoch: 1}, 1, now)
+			defer o.cancel()
+			s := o.session(orders.Entry{Worker: sched.Worker{ID: "w"}, Addr: "w:1"})
+			s.incarnation, s.durableEnd = 1, 3
+			s.setCarrier(carrier)
+			now += carriedHoldAge
+			s.sendHold(0)
+			is.Equal((<-sent).Acked, int64(0)) // no answer shows that this incarnation gets it
+		})
+	}
+}
