sched: don't let work beyond its guarantee throw much more away

Cause: urgent work beyond its workspace's guarantee preempted at any cost. A gang of two tasks that are to do 183 core-seconds stopped gangs that had done 5,073.

Change: such work may lose at most twice the work that it is to do, a quarter of it once it is late. Otherwise it waits and claims no room, and does not speak for other groups of its shape. Guaranteed and long-running work preempts as before.

--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -131,6 +131,10 @@
 	// priorityCostFactor is by how much more the loss of a run counts in preemption than that of one of the
 	// next lower priority.
 	priorityCostFactor = 3
+	// maxLossRatio bounds the work that preemption may lose for urgent work beyond its workspace's guarantee, as a
+	// multiple of that urgent work. maxLateLossRatio is the bound once that work is late and so worth less.
+	maxLossRatio     = 2.0
+	maxLateLossRatio = 0.25
 	// yieldMinUtilization is the utilization of a pool up to which no work yields, since the users' rules
 	// require all work to run while less than half is in use.
 	yieldMinUtilization = 0.55
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -30,6 +30,9 @@
 	overdue bool
 	// yields is set for a group that must leave room to waiting groups that rank before it.
 	yields bool
+	// patient is set for a group that waits because preemption would lose too much for it. It claims no room: work that
+	// starts meanwhile has not yet much to lose.
+	patient bool
 }
 
 // lateness classifies a job by when it is expected to end, and thereby by what its result is still
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -67,7 +67,7 @@
 			return true // the next pass places it first
 		}
 		if !e.place(g, now) {
-			unplaceable[key] = true
+			unplaceable[key] = !g.patient
 			e.recordUnplaced(g, now)
 		}
 	}
@@ -89,7 +89,9 @@
 		e.vacate(g)
 	} else {
 		e.noteWait(g, ForRoom, now)
-		e.claimRoom(g, now)
+		if !g.patient {
+			e.claimRoom(g, now)
+		}
 	}
 	e.askAdviser(g, now)
 }
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -51,7 +51,7 @@
 		}
 	}
 	options, cost := e.cheapestOptions(g, ws, guaranteed, now)
-	if cost < 0 {
+	if cost < 0 || !e.worthwhile(g, options, now) {
 		return false
 	}
 	e.preemptAndReserve(g, options, now)
@@ -71,7 +71,7 @@
 			best, least = options, cost
 		}
 	}
-	if best == nil {
+	if best == nil || !e.worthwhile(g, best, now) {
 		return false
 	}
 	e.preemptAndReserve(g, best, now)
@@ -119,6 +119,41 @@
 	return out, total
 }
 
+// worthwhile reports whether the group may preempt what the options have chosen, and otherwise marks it as patient.
+// Guaranteed and long-running work always may. Other work may lose a multiple of the work that it is to do: beyond that,
+// others lose more than it gains.
+func (e *Engine) worthwhile(g *group, options []*preemptionOption, now Moment) bool {
+	if g.guaranteed || g.step.Lasts || g.step.EstimateMs == 0 {
+		return true
+	}
+	ratio := maxLossRatio
+	if g.lateness != inTime {
+		ratio = maxLateLossRatio
+	}
+	own := float64(len(g.waiting)) * g.step.Need().Cores() * float64(g.step.EstimateMs) / 1000
+	g.patient = e.lostWork(options, now) > ratio*own
+	return !g.patient
+}
+
+// lostWork returns the work, in core-seconds, that is lost if the victims that the options have chosen are stopped.
+func (e *Engine) lostWork(options []*preemptionOption, now Moment) float64 {
+	total := 0.0
+	counted := map[TaskRef]bool{}
+	for _, p := range options {
+		for _, v := range p.victims[:p.chosen] {
+			step := &e.jobs[v.ref.Job].Work.Steps[v.ref.Step]
+			if step.Gang {
+				v.ref.Task = 0
+			}
+			if !v.task.Stopping && !counted[v.ref] {
+				counted[v.ref] = true
+				total += loss(v.task, step, now)
+			}
+		}
+	}
+	return total
+}
+
 // next returns what one more task on the option costs, and how many victims must then
 // be stopped in total; ok is false if the task does not fit.
 func (p *preemptionOption) next(need model.Room) (cost float64, take int, ok bool) {
