--- a/internal/leader/backlog_test.go
+++ b/internal/leader/backlog_test.go
@@ -12,17 +12,23 @@
 	"greengageline/internal/sched"
 )
 
+// startBusy starts a simulation of short runs whose store takes three transactions a second.
+func startBusy() (sim *simulation, stop func()) {
+	sim, _, stop = startSimulation(8, 1)
+	sim.store.mu.Lock()
+	sim.store.txnTime = 300 * time.Millisecond
+	sim.store.mu.Unlock()
+	sim.setRunTime(300 * time.Millisecond)
+	return sim, stop
+}
+
 // Guards against work that waits longer than what was accepted after it, since records wait for the store in the order
 // of their ids (LOST).
 func TestRecordsAreStoredInTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		sim, _, stop := startSimulation(8, 1)
+		sim, stop := startBusy()
 		defer stop()
-		sim.store.mu.Lock()
-		sim.store.txnTime = 300 * time.Millisecond
-		sim.store.mu.Unlock()
-		sim.setRunTime(300 * time.Millisecond)
 		began := map[string]time.Duration{}
 		submitted := map[string]time.Duration{}
 		sim.onStart.set(func(_ *fakeWorker, task sched.TaskRef) {
@@ -63,12 +69,8 @@
 func TestEndsAreAcknowledgedWhileRecordsWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		sim, _, stop := startSimulation(8, 1)
+		sim, stop := startBusy()
 		defer stop()
-		sim.store.mu.Lock()
-		sim.store.txnTime = 300 * time.Millisecond
-		sim.store.mu.Unlock()
-		sim.setRunTime(300 * time.Millisecond)
 		count := func() (ended, acked int) {
 			for _, m := range sim.workers {
 				m.mu.Lock()
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -155,10 +155,10 @@
 		o.TimeoutMs = max(1, (time.Until(deadline) - answerMargin).Milliseconds())
 	}
 	a, err := s.ask(ctx, o, payload)
-	if err == nil {
-		return a, a.err()
+	if err != nil {
+		return a, err
 	}
-	return a, err
+	return a, a.err()
 }
 
 // isOld reports whether an order that was given at a time may no longer be sent.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -92,7 +92,7 @@
 			return
 		case o := <-s.queue:
 			if b := s.batch(ctx, o); len(b.Orders) > 0 && src.Send(b) != nil {
-				return
+				return // the orders in it end without an answer, which their callers handle
 			}
 			idle.Reset(idleStreamAge)
 		}
@@ -189,7 +189,7 @@
 	for {
 		var m Answers
 		if src.Recv(&m) != nil {
-			return
+			return // as for a message that can't be sent
 		}
 		s.seenMs.Store(m.NowMs)
 		s.mu.Lock()
