pkg/client: an error tells of all attempts, not of the last

Cause: the client took each error but a failed dial for a request that may have arrived, also when the context ended before there was a connection. The retries come every 200 ms and the test's time is 1 s, so that the fifth retry and the end of the time race: if the retry wins, nothing is sent, and the caller is told that the outcome is not known.

The same class, graver, found beside it: the error of a call was that of its last attempt. With one node whose answer was lost and one that is down, busy or refuses, the caller was told that nothing ran, though the first attempt may have.

Ruled out: a listener on the test's port (the message is that of the ended context).

Change: a request counts as sent once it has a connection. An attempt that may have had an effect marks the outcome of the whole call as not known, whatever the later attempts say; reads have no effect, so their last answer holds.

Conclusion: a fault of the client, not of the test, which stays as it was.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -7,10 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"greengageline/pkg/model"
@@ -19,7 +20,7 @@
 var (
 	// ErrNotKnown means that the outcome is not known; retry with the same key.
 	ErrNotKnown = errors.New("outcome is not known yet")
-	// ErrUnreached means that no connection to an entry node could be made, so nothing ran.
+	// ErrUnreached means that no attempt had a connection to an entry node, so nothing ran.
 	ErrUnreached = errors.New("no entry node answered")
 )
 
@@ -127,42 +128,65 @@
 // Do sends one request to the entry nodes in turn, each at most once, until one gives a final
 // response, and decodes that into out. Operator tools use it.
 func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
-	_, err := c.tryEachNode(ctx, method, path, in, out)
-	return err
+	var o outcome
+	c.tryEachNode(ctx, method, path, in, out, &o)
+	return o.error()
 }
 
 // doWithRetry tries the entry nodes repeatedly until one gives a final response or ctx ends.
 func (c *Client) doWithRetry(ctx context.Context, method, path string, in, out any) error {
-	for {
-		final, err := c.tryEachNode(ctx, method, path, in, out)
-		if final {
-			return err
-		}
+	var o outcome
+	for !c.tryEachNode(ctx, method, path, in, out, &o) {
 		timer := time.NewTimer(retryInterval)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return fmt.Errorf("%w: %w", err, ctx.Err())
+			return fmt.Errorf("%w: %w", o.error(), ctx.Err())
 		case <-timer.C:
 		}
 	}
+	return o.error()
 }
 
-// tryEachNode tries each entry node at most once. final reports that a retry is not needed or would not help.
-func (c *Client) tryEachNode(ctx context.Context, method, path string, in, out any) (final bool, err error) {
-	err = ErrUnreached
+// tryEachNode tries each entry node at most once and records the results in o. It reports whether a retry is not
+// needed or would not help.
+func (c *Client) tryEachNode(ctx context.Context, method, path string, in, out any, o *outcome) (final bool) {
+	if len(c.Addrs) == 0 {
+		o.add(method, ErrUnreached)
+	}
 	for _, addr := range c.Addrs {
-		nodeErr := c.send(ctx, method, "http://"+addr+path, in, out)
-		if nodeErr == nil {
-			return true, nil
-		}
-		err = nodeErr
+		err := c.send(ctx, method, "http://"+addr+path, in, out)
+		o.add(method, err)
 		var p *Problem
-		if errors.As(nodeErr, &p) && !isTransient(p) {
-			return true, nodeErr
+		if err == nil || errors.As(err, &p) && !isTransient(p) {
+			return true
 		}
 	}
-	return ctx.Err() != nil, err
+	return ctx.Err() != nil
+}
+
+// outcome is what several attempts tell of one request.
+type outcome struct {
+	last error
+	// mayHaveRun is the error of the latest attempt that may have had an effect, though its answer is missing.
+	mayHaveRun error
+}
+
+// add records the result of an attempt, which is nil if it succeeded.
+func (o *outcome) add(method string, err error) {
+	o.last = err
+	if method != http.MethodGet && errors.Is(err, ErrNotKnown) {
+		o.mayHaveRun = err
+	}
+}
+
+// error returns the error of the last attempt. If an earlier attempt may have had an effect, it returns that one's,
+// since the last attempt tells of itself only.
+func (o *outcome) error() error {
+	if o.last == nil || o.mayHaveRun == nil || errors.Is(o.last, ErrNotKnown) {
+		return o.last
+	}
+	return fmt.Errorf("%w; then: %s", o.mayHaveRun, o.last.Error())
 }
 
 // isTransient reports whether the same request may succeed when retried.
@@ -179,6 +203,8 @@
 		}
 		body = bytes.NewReader(data)
 	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, method, requestURL, body)
 	if err != nil {
 		return fmt.Errorf("make request: %w", err)
@@ -190,7 +216,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return sendError(err)
+		return sendError(err, connected.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
@@ -203,11 +229,10 @@
 	return decodeBody(data, out)
 }
 
-// sendError wraps err with ErrUnreached if no connection was made, and with ErrNotKnown if the
-// request may have arrived.
-func sendError(err error) error {
-	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+// sendError wraps err with ErrUnreached if there was no connection for the request, whether dialing failed or time was
+// over before, and with ErrNotKnown if the request may have arrived.
+func sendError(err error, connected bool) error {
+	if !connected {
 		return fmt.Errorf("%w: %w", ErrUnreached, err)
 	}
 	return fmt.Errorf("%w: %w", ErrNotKnown, err)
