leader: pace the holds of a worker by the runs that it lists

Hypotheses and evidence: 1. The owner lacks processor time. It uses 0.4 of a core, and a third of that goes into answers to holds. 2. The stops wait for connections or for each other. Holds take the worker's time. Each answered stop asked for a hold, one each 50 ms, and each durable end for another: 25 a second, each of which lists all runs that are left. Some 130 holds with 130,000 entries went out beside 2,000 stops. Ruled out: 1, the store (commits go on).

Class of fault: work at a fixed rate whose cost grows with what there is to list, so that the end of many things costs the square of their number. The same for a worker whose many runs end by themselves.

Change: after an answer that lists runs, the next hold pauses 0.2 ms for each of them, at most a twelfth of the lease; below 50 ms, so up to 250 runs, nothing changes. An acknowledgement does not wait, holds after silence or with an unknown clock do not pause, nor does a list that was cut off. Up to 16 stops are in flight to a worker, 18 with its starts, 20 with its holds; stops take what the starts leave, and leave two for them.

What is left beside 20 busy processes is still to be told apart from the stand-in worker's own need.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -32,11 +32,19 @@
 	// maxOwnDelay is how long a worker's missing answers may be put down to this node's own link or processor:
 	// twice the longest hold.
 	maxOwnDelay = 2 * (maxHoldWait + maxOrderTimeout)
-	// maxStartsInFlight, maxStopsInFlight and maxHoldsInFlight bound the orders in flight to one worker, whose connections
-	// all nodes share. Together they are orders.MaxInFlight, so that none fails for want of a connection.
-	maxStartsInFlight = 6
-	maxStopsInFlight  = 8
-	maxHoldsInFlight  = orders.MaxInFlight - maxStartsInFlight - maxStopsInFlight
+	// maxHoldsInFlight bounds the holds in flight to one worker, and maxRunOrdersInFlight the starts and stops together,
+	// whose connections all nodes share. Together they are orders.MaxInFlight, so that none fails for want of a
+	// connection. maxStartsInFlight and maxStopsInFlight leave some of these for the others.
+	maxHoldsInFlight     = 2
+	maxRunOrdersInFlight = orders.MaxInFlight - maxHoldsInFlight
+	maxStartsInFlight    = 6
+	maxStopsInFlight     = 16
+	// listTime is the pause between holds for each run that an answer lists, so that the lists of a worker's runs cost it
+	// and the owner no more the more runs it has. Pauses of less than minListPause are left out. leaseListPauses is how
+	// many of the longest pauses a lease must allow for.
+	listTime        = 200 * time.Microsecond
+	minListPause    = holdSpacing
+	leaseListPauses = 12
 )
 
 // session is the owner's state about one worker. It polls the worker with holds: a hold renews the leases
@@ -96,6 +104,11 @@
 	// holdDue is set while a hold is due that must be sent after what has been answered so far, holdTimed while it waits
 	// for holdSpacing.
 	holdDue, holdTimed bool
+	// pausedUntil is the end of the pause between holds, and pauseTimed is set while a hold waits for it.
+	pausedUntil time.Duration
+	pauseTimed  bool
+	// acknowledged says that the last hold acknowledged ends.
+	acknowledged bool
 	// startsInFlight has the run of each start in flight, unconfirmedStarts the starts that got no answer.
 	startsInFlight    map[sched.TaskRef]int64
 	unconfirmedStarts map[sched.TaskRef]startOutcome
@@ -221,13 +234,16 @@
 	}
 }
 
-// sendHold sends one hold; handling its answer sends the next.
+// sendHold sends one hold, after the pause if there is one; handling its answer sends the next.
 func (s *session) sendHold(wait time.Duration) {
 	o := s.o
 	e := s.target(carriedHoldAge)
 	if s.ackDirectly && s.hasUnacknowledgedEnds() {
 		e = s.entry
 	}
+	if s.waitForPause(e) {
+		return
+	}
 	in := orders.Hold{Epoch: o.epoch, Wait: wait, Incarnation: s.incarnation}
 	switch {
 	case s.mayAcknowledge(e):
@@ -235,6 +251,7 @@
 	case s.hasUnacknowledgedEnds():
 		in.Wait = 0 // the answer tells whether the next hold may acknowledge them
 	}
+	s.acknowledged = in.Acked > 0
 	// A silent worker may still receive the hold. Leases are not extended until it answers, or its runs
 	// could never be given up.
 	if o.mayOrder() && !s.silent && o.engine.Busy(s.entry.ID) {
@@ -260,6 +277,33 @@
 	})
 }
 
+// waitForPause reports whether the next hold, to e, has to wait for the end of the pause, after which one is sent. An
+// acknowledgement can't wait, but the hold after it can.
+func (s *session) waitForPause(e orders.Entry) bool {
+	left := s.pausedUntil - s.o.lead.now()
+	if left <= 0 || s.mayAcknowledge(e) && !s.acknowledged {
+		return false
+	}
+	if !s.pauseTimed {
+		s.pauseTimed = true
+		time.AfterFunc(left, func() {
+			s.o.post(func() {
+				s.pauseTimed, s.holdDue = false, true
+				s.sendDueHold()
+			})
+		})
+	}
+	return true
+}
+
+// pause begins a pause after an answer that lists so many runs. Otherwise, while a worker's runs end one after another,
+// each end is followed by a list of all others.
+func (s *session) pause(runs int) {
+	if d := time.Duration(runs) * listTime; d >= minListPause {
+		s.pausedUntil = s.o.lead.now() + min(d, s.o.lead.Bounds.MaxLease/leaseListPauses)
+	}
+}
+
 // ackMaxAge is how long after the answer to a hold the next one may acknowledge ends: less than a worker takes to
 // start again. After that a hold without acknowledgement comes first.
 const ackMaxAge = 100 * time.Millisecond
@@ -363,6 +407,9 @@
 	if len(out.Ended) > 0 {
 		o.passDue = true
 	}
+	if in.DeadlineMs > 0 && !out.More { // the leases allow for a pause, and no ends wait to be listed
+		s.pause(len(out.Running))
+	}
 	// A worker answers at once while it lists ends that are not acknowledged, so the next hold waits until
 	// they are durable. checkLeases extends the leases if that takes long.
 	if s.holdsInFlight > 0 {
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -23,7 +23,7 @@
 			kept = append(kept, o.readyStarts[i:]...)
 			break
 		}
-		if s := o.sessions[order.Worker]; s != nil && len(s.startsInFlight) >= maxStartsInFlight {
+		if s := o.sessions[order.Worker]; s != nil && !s.mayStart() {
 			kept = append(kept, order)
 			continue
 		}
--- a/internal/leader/stops.go
+++ b/internal/leader/stops.go
@@ -65,7 +65,7 @@
 
 // sendQueuedStops sends queued stops, as many as may be in flight, and drops those that are no longer needed.
 func (s *session) sendQueuedStops() {
-	for len(s.stops) > 0 && s.stopsInFlight < maxStopsInFlight && !s.closed {
+	for len(s.stops) > 0 && s.mayStop() && !s.closed {
 		p := s.stops[0]
 		s.stops = s.stops[1:]
 		if !s.hasRun(p.order.Task, p.order.Run) && (!p.stray || p.tries >= stopTries) {
@@ -76,6 +76,16 @@
 	}
 }
 
+// mayStart reports whether one more start may be in flight to the worker.
+func (s *session) mayStart() bool {
+	return len(s.startsInFlight) < min(maxStartsInFlight, maxRunOrdersInFlight-s.stopsInFlight)
+}
+
+// mayStop reports whether one more stop may be in flight to the worker.
+func (s *session) mayStop() bool {
+	return s.stopsInFlight < min(maxStopsInFlight, maxRunOrdersInFlight-len(s.startsInFlight))
+}
+
 // callStop sends a stop once; handleStopAnswer handles the outcome.
 func (s *session) callStop(p *pendingStop) {
 	o := s.o
--- a/internal/leader/stops_test.go
+++ b/internal/leader/stops_test.go
@@ -34,6 +34,10 @@
 			var n atomic.Int64
 			sim.worker("w0").resets.set(func() bool { return n.Add(1)%40 == 0 })
 		}},
+		"2,000 on one worker, which has little processor time": {workers: 1, jobs: 2, tasks: 1000, during: func(sim *simulation, _ []*testNode) {
+			sim.worker("w0").orderCost.set(time.Microsecond)
+			sim.worker("w0").listCost.set(10 * time.Microsecond)
+		}},
 		"1,000 on one worker, it is silent for 1 s": {workers: 1, jobs: 1, tasks: 1000, limit: time.Second, during: func(sim *simulation, _ []*testNode) {
 			from := sim.now()
 			sim.worker("w0").unreachable.set(func(string) bool { return sim.now()-from < time.Second })
--- a/internal/leader/worker_test.go
+++ b/internal/leader/worker_test.go
@@ -46,6 +46,8 @@
 	replaced      syncValue[bool]                  // another incarnation answers at its address
 	alterEntry    syncValue[func(e *orders.Entry)] // changes the entry as another writer does
 	ignoreContext syncValue[bool]                  // a hold does not end with its context, as a real call may not
+	orderCost     syncValue[time.Duration]         // time of an order for each run that the worker has, one order at a time
+	listCost      syncValue[time.Duration]         // the same of each list of its runs
 
 	// mu guards all workers of the simulation, since a start reads another worker's runs. It is locked
 	// before simulation.mu.
@@ -55,8 +57,9 @@
 	runs        map[sched.TaskRef]*fakeRun
 	maxEndedRun map[sched.TaskRef]int64 // highest run that has ended, or was stopped, per task
 	ended       []orders.Ended
-	lastEnd     int64 // number of the last end
-	listedEnd   int64 // number of the last end that a hold has listed
+	lastEnd     int64         // number of the last end
+	listedEnd   int64         // number of the last end that a hold has listed
+	busyUntil   time.Duration // end of the orders and lists that take time
 	// connections counts the connections that each node uses, refusedOrders the orders that found none.
 	connections   map[string]int
 	refusedOrders int
@@ -70,7 +73,7 @@
 
 // deliver applies the delay and the faults of an order; later carries out a delayed one.
 func (m *fakeWorker) deliver(ctx context.Context, node string, later func()) error {
-	clock.Sleep(ctx, messageDelay)
+	clock.Sleep(ctx, messageDelay+m.workFor(m.orderCost.get()))
 	if unreachable := m.unreachable.get(); unreachable != nil && unreachable(node) {
 		<-ctx.Done()
 		return orders.ErrOutcomeUnknown
@@ -101,6 +104,17 @@
 	return nil
 }
 
+// workFor lets the worker work for a time for each run that it has, and returns the time until that is done.
+func (m *fakeWorker) workFor(each time.Duration) time.Duration {
+	if each == 0 {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.busyUntil = max(m.busyUntil, m.sim.now()) + each*time.Duration(len(m.runs))
+	return m.busyUntil - m.sim.now()
+}
+
 // runCount returns how many runs the worker has.
 func (m *fakeWorker) runCount() int {
 	m.mu.Lock()
@@ -228,7 +242,7 @@
 			return orders.HoldReply{}, orders.ErrOutcomeUnknown
 		}
 		if len(out.Ended) > 0 || m.sim.now() >= until {
-			clock.Sleep(ctx, messageDelay)
+			clock.Sleep(ctx, messageDelay+m.workFor(m.listCost.get()))
 			return out, ctx.Err()
 		}
 		clock.Sleep(ctx, 10*time.Millisecond)
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -122,7 +122,7 @@
 
 // MaxInFlight is how many orders the owner has in flight to one worker at most; an implementation of Fleet must be
 // able to carry so many at a time.
-const MaxInFlight = 16
+const MaxInFlight = 20
 
 // Fleet is the interface to the workers, which may go through other nodes. Errors wrap one of the package's errors.
 type Fleet struct {
