leader: pause holds only while stops wait, and let the stops follow their answers

And 16 stops at once were too many for a worker that takes 25 ms for each order: the hold behind them timed out, and the leases of healthy runs ran out, 50 of 50.

Change: a hold pauses only while stops wait for the worker; after the pause one is sent if it is still needed. The stops in flight to a worker follow the time of their answers, 2 to 16, 8 at first.

The fake worker no longer answers an order after its time is over.

--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -39,11 +39,9 @@
 	maxRunOrdersInFlight = orders.MaxInFlight - maxHoldsInFlight
 	maxStartsInFlight    = 6
 	maxStopsInFlight     = 16
-	// listTime is the pause between holds for each run that an answer lists, so that the lists of a worker's runs cost it
-	// and the owner no more the more runs it has. Pauses of less than minListPause are left out. leaseListPauses is how
-	// many of the longest pauses a lease must allow for.
+	// listTime is the pause between holds for each run that an answer lists while stops wait for the worker, and
+	// leaseListPauses how many of the longest pauses a lease must allow for.
 	listTime        = 200 * time.Microsecond
-	minListPause    = holdSpacing
 	leaseListPauses = 12
 )
 
@@ -101,6 +99,7 @@
 	stops         []*pendingStop
 	pendingStops  map[stopKey]bool
 	stopsInFlight int
+	stopLimit     stopWindow
 	// holdDue is set while a hold is due that must be sent after what has been answered so far, holdTimed while it waits
 	// for holdSpacing.
 	holdDue, holdTimed bool
@@ -277,31 +276,35 @@
 	})
 }
 
-// waitForPause reports whether the next hold, to e, has to wait for the end of the pause, after which one is sent. An
-// acknowledgement can't wait, but the hold after it can.
+// waitForPause reports whether the next hold, to e, has to wait for the end of the pause, after which one is sent if it
+// is still needed. While stops wait for the worker, its runs end one after another, and without a pause each end would
+// be followed by a list of all others, which takes the time of the stops. An acknowledgement can't wait, but the hold
+// after it can.
 func (s *session) waitForPause(e orders.Entry) bool {
 	left := s.pausedUntil - s.o.lead.now()
-	if left <= 0 || s.mayAcknowledge(e) && !s.acknowledged {
+	if left <= 0 || len(s.stops) == 0 || s.mayAcknowledge(e) && !s.acknowledged {
 		return false
 	}
 	if !s.pauseTimed {
 		s.pauseTimed = true
-		time.AfterFunc(left, func() {
-			s.o.post(func() {
-				s.pauseTimed, s.holdDue = false, true
-				s.sendDueHold()
-			})
-		})
+		time.AfterFunc(left, func() { s.o.post(s.endPause) })
 	}
 	return true
 }
 
-// pause begins a pause after an answer that lists so many runs. Otherwise, while a worker's runs end one after another,
-// each end is followed by a list of all others.
-func (s *session) pause(runs int) {
-	if d := time.Duration(runs) * listTime; d >= minListPause {
-		s.pausedUntil = s.o.lead.now() + min(d, s.o.lead.Bounds.MaxLease/leaseListPauses)
+// endPause sends the hold that has waited for the end of a pause.
+func (s *session) endPause() {
+	s.pauseTimed = false
+	if s.holdDue {
+		s.sendDueHold()
+		return
 	}
+	s.holdIfDue()
+}
+
+// pause begins a pause after an answer that lists so many runs.
+func (s *session) pause(runs int) {
+	s.pausedUntil = s.o.lead.now() + min(time.Duration(runs)*listTime, s.o.lead.Bounds.MaxLease/leaseListPauses)
 }
 
 // ackMaxAge is how long after the answer to a hold the next one may acknowledge ends: less than a worker takes to
@@ -407,6 +410,7 @@
 	if len(out.Ended) > 0 {
 		o.passDue = true
 	}
+	s.pausedUntil = 0
 	if in.DeadlineMs > 0 && !out.More { // the leases allow for a pause, and no ends wait to be listed
 		s.pause(len(out.Running))
 	}
@@ -508,6 +512,7 @@
 // handleHoldFailure handles a hold to an address that failed: the worker counts as silent until it answers again.
 func (s *session) handleHoldFailure(addr string, err error) {
 	o := s.o
+	s.pausedUntil = 0
 	s.noteUncertain()
 	s.noteFailure(err)
 	triedDirectly := s.ackDirectly
--- a/internal/leader/stops.go
+++ b/internal/leader/stops.go
@@ -83,7 +83,7 @@
 
 // mayStop reports whether one more stop may be in flight to the worker.
 func (s *session) mayStop() bool {
-	return s.stopsInFlight < min(maxStopsInFlight, maxRunOrdersInFlight-len(s.startsInFlight))
+	return s.stopsInFlight < min(s.stopLimit.size(), maxRunOrdersInFlight-len(s.startsInFlight))
 }
 
 // callStop sends a stop once; handleStopAnswer handles the outcome.
@@ -91,7 +91,8 @@
 	o := s.o
 	p.tries++
 	s.stopsInFlight++
-	s.lastStopAt[p.order.Task] = o.lead.now()
+	sentAt := o.lead.now()
+	s.lastStopAt[p.order.Task] = sentAt
 	e, timeout := s.target(carriedHoldAge), o.starts.timeout()
 	o.spawn(func() {
 		err := orders.ErrNotSent
@@ -101,7 +102,10 @@
 			cancel()
 		}
 		at := o.lead.now()
-		o.post(func() { s.handleStopAnswer(p, at, err) })
+		o.post(func() {
+			s.stopLimit.answered(at-sentAt, err)
+			s.handleStopAnswer(p, at, err)
+		})
 	})
 }
 
--- a/internal/leader/stops_test.go
+++ b/internal/leader/stops_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"greengageline/internal/sched"
 	"greengageline/pkg/model"
 )
 
@@ -35,8 +36,8 @@
 			sim.worker("w0").resets.set(func() bool { return n.Add(1)%40 == 0 })
 		}},
 		"2,000 on one worker, which has little processor time": {workers: 1, jobs: 2, tasks: 1000, during: func(sim *simulation, _ []*testNode) {
-			sim.worker("w0").orderCost.set(time.Microsecond)
-			sim.worker("w0").listCost.set(10 * time.Microsecond)
+			sim.worker("w0").orderCost.set(func(runs int) time.Duration { return time.Duration(runs) * time.Microsecond })
+			sim.worker("w0").listCost.set(func(runs int) time.Duration { return time.Duration(runs) * 10 * time.Microsecond })
 		}},
 		"1,000 on one worker, it is silent for 1 s": {workers: 1, jobs: 1, tasks: 1000, limit: time.Second, during: func(sim *simulation, _ []*testNode) {
 			from := sim.now()
@@ -85,3 +86,59 @@
 		})
 	}
 }
+
+// Guards against so many stops at a slow worker that the holds behind them come too late, and the leases of the runs
+// that go on there run out.
+func TestHealthyRunsOutliveSlowStops(t *testing.T) {
+	for _, each := range []time.Duration{10, 25, 30, 40, 50} {
+		t.Run(fmt.Sprint(each*time.Millisecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, _, stop := startSimulation(1, 2)
+				defer stop()
+				sim.setRunTime(5 * time.Minute)
+				sim.submit("healthy", "bulk", fineTasks(50))
+				sim.submit("large", "bulk", fineTasks(450))
+				m := sim.worker("w0")
+				for m.runCount() < 500 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(3 * time.Second)
+				m.orderCost.set(func(int) time.Duration { return each * time.Millisecond })
+				sim.cancel("large")
+				for from := sim.now(); sim.now()-from < 30*time.Second; time.Sleep(10 * time.Millisecond) {
+					for _, cause := range m.endsOf("healthy") {
+						if cause == sched.LeaseExpired {
+							t.Fatalf("a healthy run has lapsed %s after the cancel", sim.now()-from)
+						}
+					}
+				}
+				is.Equal(sim.violations, nil)
+			})
+		})
+	}
+}
+
+// A calm worker is asked as seldom as its holds wait, however many runs it has.
+func TestHoldsOfCalmWorkerWait(t *testing.T) {
+	for _, tasks := range []int{200, 500, 1000} {
+		t.Run(fmt.Sprint(tasks), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, _, stop := startSimulation(1, 2)
+				defer stop()
+				sim.setRunTime(5 * time.Minute)
+				sim.submit("j", "bulk", fineTasks(tasks))
+				m := sim.worker("w0")
+				for m.runCount() < tasks {
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(3 * time.Second)
+				var n atomic.Int64
+				m.unreachable.set(func(string) bool { n.Add(1); return false })
+				time.Sleep(20 * time.Second)
+				is.True(n.Load() <= 11) // a hold waits two seconds
+			})
+		})
+	}
+}
--- a/internal/leader/window.go
+++ b/internal/leader/window.go
@@ -1,6 +1,10 @@
 package leader
 
-import "time"
+import (
+	"time"
+
+	"greengageline/internal/orders"
+)
 
 const (
 	// initialWindow is how many starts may be in flight before any was answered, minWindow and maxWindow are
@@ -97,6 +101,43 @@
 	return min(max(orderTimeout, timeoutFactor*w.smoothed), maxOrderTimeout)
 }
 
+const (
+	// initialStopWindow, minStopWindow and maxStopsInFlight are the first value and the bounds of a stopWindow.
+	initialStopWindow = 8
+	minStopWindow     = 2
+	// promptStop and lateStop are the times of an answer below which the window grows and above which it shrinks.
+	promptStop = 100 * time.Millisecond
+	lateStop   = 150 * time.Millisecond
+)
+
+// stopWindow bounds the stops in flight to one worker, by the time that their answers take. A worker may carry out one
+// order at a time, also one that is no longer waited for, and a hold behind too many of them comes too late for the
+// leases of the runs that go on. The zero value is ready for use.
+type stopWindow struct {
+	limit int // 0 means initialStopWindow
+}
+
+// size returns how many stops may be in flight.
+func (w *stopWindow) size() int {
+	if w.limit == 0 {
+		return initialStopWindow
+	}
+	return w.limit
+}
+
+// answered records the outcome of a stop after a time.
+func (w *stopWindow) answered(took time.Duration, err error) {
+	switch {
+	case err != nil && !orders.HadNoEffect(err):
+		w.limit = max(minStopWindow, w.size()/2)
+	case err != nil:
+	case took < promptStop:
+		w.limit = min(w.size()+1, maxStopsInFlight)
+	case took > lateStop:
+		w.limit = max(minStopWindow, w.size()-1)
+	}
+}
+
 // passLimit bounds the starts that a scheduling pass may decide, by how long earlier passes took. The zero value sets no
 // bound.
 type passLimit struct{ starts int }
--- a/internal/leader/worker_test.go
+++ b/internal/leader/worker_test.go
@@ -41,13 +41,13 @@
 	runTime       syncValue[time.Duration]
 	failRuns      syncValue[bool]
 	leaving       syncValue[bool]
-	resets        syncValue[func() bool]           // whether the connection is closed instead of carrying an order
-	crashed       syncValue[bool]                  // its connections are closed, and nobody listens
-	replaced      syncValue[bool]                  // another incarnation answers at its address
-	alterEntry    syncValue[func(e *orders.Entry)] // changes the entry as another writer does
-	ignoreContext syncValue[bool]                  // a hold does not end with its context, as a real call may not
-	orderCost     syncValue[time.Duration]         // time of an order for each run that the worker has, one order at a time
-	listCost      syncValue[time.Duration]         // the same of each list of its runs
+	resets        syncValue[func() bool]                  // whether the connection is closed instead of carrying an order
+	crashed       syncValue[bool]                         // its connections are closed, and nobody listens
+	replaced      syncValue[bool]                         // another incarnation answers at its address
+	alterEntry    syncValue[func(e *orders.Entry)]        // changes the entry as another writer does
+	ignoreContext syncValue[bool]                         // a hold does not end with its context, as a real call may not
+	orderCost     syncValue[func(runs int) time.Duration] // time that each order takes, one at a time
+	listCost      syncValue[func(runs int) time.Duration] // the same of each list of its runs
 
 	// mu guards all workers of the simulation, since a start reads another worker's runs. It is locked
 	// before simulation.mu.
@@ -73,7 +73,14 @@
 
 // deliver applies the delay and the faults of an order; later carries out a delayed one.
 func (m *fakeWorker) deliver(ctx context.Context, node string, later func()) error {
-	clock.Sleep(ctx, messageDelay+m.workFor(m.orderCost.get()))
+	began, work := m.sim.now(), messageDelay+m.workFor(m.orderCost.get())
+	clock.Sleep(ctx, work)
+	if ctx.Err() != nil {
+		if later != nil {
+			time.AfterFunc(max(0, began+work-m.sim.now()), later) // it is carried out in its turn
+		}
+		return orders.ErrOutcomeUnknown
+	}
 	if unreachable := m.unreachable.get(); unreachable != nil && unreachable(node) {
 		<-ctx.Done()
 		return orders.ErrOutcomeUnknown
@@ -104,14 +111,15 @@
 	return nil
 }
 
-// workFor lets the worker work for a time for each run that it has, and returns the time until that is done.
-func (m *fakeWorker) workFor(each time.Duration) time.Duration {
-	if each == 0 {
+// workFor lets the worker work for a time that depends on its runs, after what it does already, and returns the time
+// until that is done.
+func (m *fakeWorker) workFor(cost func(runs int) time.Duration) time.Duration {
+	if cost == nil {
 		return 0
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.busyUntil = max(m.busyUntil, m.sim.now()) + each*time.Duration(len(m.runs))
+	m.busyUntil = max(m.busyUntil, m.sim.now()) + cost(len(m.runs))
 	return m.busyUntil - m.sim.now()
 }
 
@@ -122,6 +130,19 @@
 	return len(m.runs)
 }
 
+// endsOf returns the causes of the ends of a job's runs that are not acknowledged.
+func (m *fakeWorker) endsOf(job string) []sched.Cause {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []sched.Cause
+	for _, e := range m.ended {
+		if e.Task.Job == job {
+			out = append(out, e.Cause)
+		}
+	}
+	return out
+}
+
 func (m *fakeWorker) incarnation() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
