pkg/client: a transport that reports no connections may have sent the request

Cause: the change to the client's errors took a request for not sent if no connection was reported; a transport that ignores the trace reports none (found by review, TestTransportWithoutTraceIsNotKnown fails before). A 5xx in a form other than ours, as of a proxy, counted as an answer that says nothing of the request.

Change: not sent is what failed to dial, had no time left, or asked for a connection and got none. A 5xx in another form is an unknown outcome.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -203,8 +204,11 @@
 		}
 		body = bytes.NewReader(data)
 	}
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreached, err)
+	}
+	var wait connWait
+	ctx = httptrace.WithClientTrace(ctx, wait.trace())
 	req, err := http.NewRequestWithContext(ctx, method, requestURL, body)
 	if err != nil {
 		return fmt.Errorf("make request: %w", err)
@@ -216,7 +220,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return sendError(err, connected.Load())
+		return sendError(err, wait.inVain())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
@@ -231,17 +235,38 @@
 
 // sendError wraps err with ErrUnreached if there was no connection for the request, whether dialing failed or time was
 // over before, and with ErrNotKnown if the request may have arrived.
-func sendError(err error, connected bool) error {
-	if !connected {
+func sendError(err error, noConn bool) error {
+	var opErr *net.OpError
+	if noConn || errors.As(err, &opErr) && opErr.Op == "dial" {
 		return fmt.Errorf("%w: %w", ErrUnreached, err)
 	}
 	return fmt.Errorf("%w: %w", ErrNotKnown, err)
 }
 
+// connWait follows whether a request gets a connection.
+type connWait struct{ asked, got atomic.Bool }
+
+// trace returns the trace of the request to follow.
+func (w *connWait) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GetConn: func(string) { w.asked.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { w.got.Store(true) },
+	}
+}
+
+// inVain reports whether the request asked for a connection and got none. A transport that reports neither may have sent
+// it.
+func (w *connWait) inVain() bool { return w.asked.Load() && !w.got.Load() }
+
+// problemFromResponse returns the error of a response that is not 2xx. What answers with a 5xx in another form, such as a
+// proxy, may have passed the request on.
 func problemFromResponse(status int, data []byte) error {
 	p := &Problem{Status: status}
 	if json.Unmarshal(data, p) != nil || p.Kind == "" {
 		p.Kind, p.Message, p.Next = "http", strings.TrimSpace(string(data)), "look at the node's log"
+		if status >= http.StatusInternalServerError {
+			p.Ran = "unknown"
+		}
 	}
 	return p
 }
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -75,6 +75,7 @@
 		"answer lost, next node is busy":                    {[]string{dropping, startNode(t, refuse(503, busy))}, 300 * time.Millisecond, ErrNotKnown},
 		"answer lost, next node refuses":                    {[]string{dropping, startNode(t, refuse(422, invalid))}, time.Second, ErrNotKnown},
 		"outcome not known, next node is down":              {[]string{startNode(t, refuse(409, lost)), down}, time.Second, ErrNotKnown},
+		"a proxy has no answer":                             {[]string{startNode(t, refuse(502, "bad gateway"))}, time.Second, ErrNotKnown},
 		"refused":                                           {[]string{startNode(t, refuse(422, invalid))}, time.Second, nil},
 		"busy all the time":                                 {[]string{startNode(t, refuse(503, busy))}, 300 * time.Millisecond, nil},
 		"first node is down, next node refuses":             {[]string{down, startNode(t, refuse(422, invalid))}, time.Second, nil},
@@ -102,3 +103,20 @@
 	is.Equal(p.Status, 404)
 	is.True(!errors.Is(err, ErrNotKnown))
 }
+
+// lossyTransport sends nothing, reports no connection and loses the answer.
+type lossyTransport struct{}
+
+func (lossyTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, io.ErrUnexpectedEOF
+}
+
+// A transport that tells nothing of its connections may have sent the request.
+func TestTransportWithoutTraceIsNotKnown(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := (&Client{Addrs: []string{"n:1"}, HTTP: &http.Client{Transport: lossyTransport{}}}).Submit(ctx, model.JobSpec{Workspace: "a", Key: "k"})
+	is.True(errors.Is(err, ErrNotKnown))
+	is.True(!errors.Is(err, ErrUnreached))
+}
