leader: the window of stops stays while the owner itself is slow

The time of a stop's answer grows too while the owner's own link or processor is full; the window then shrank to two stops for each worker, which takes seconds for some dozens of runs, though a smaller window does not help the worker.

Change: the window stays as it is while starts show congestion, and four stops at least may be in flight (2 before). TestHealthyRunsOutliveSlowStops and TestManyStopsAreInTime pass, with the same times.

--- a/internal/leader/stops.go
+++ b/internal/leader/stops.go
@@ -103,7 +103,9 @@
 		}
 		at := o.lead.now()
 		o.post(func() {
-			s.stopLimit.answered(at-sentAt, err)
+			if !o.starts.congested(at) { // else the time may be this node's own
+				s.stopLimit.answered(at-sentAt, err)
+			}
 			s.handleStopAnswer(p, at, err)
 		})
 	})
--- a/internal/leader/window.go
+++ b/internal/leader/window.go
@@ -104,7 +104,7 @@
 const (
 	// initialStopWindow, minStopWindow and maxStopsInFlight are the first value and the bounds of a stopWindow.
 	initialStopWindow = 8
-	minStopWindow     = 2
+	minStopWindow     = 4
 	// promptStop and lateStop are the times of an answer below which the window grows and above which it shrinks.
 	promptStop = 100 * time.Millisecond
 	lateStop   = 150 * time.Millisecond
