pkg/client: time that ends before the transport asks for a connection

Cause: the context ended after the client's look at it and before the transport asked for a connection; the transport returns then without having asked, and the client took that for a transport that reports nothing.

Change: Go's own transport reports each connection, so none reported means none used; another transport must have asked for one. The test's node that is down has a port that the system gives to nobody; its checks are the same.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -220,7 +220,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return sendError(err, wait.inVain())
+		return sendError(err, wait.inVain(client.Transport))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
@@ -254,9 +254,15 @@
 	}
 }
 
-// inVain reports whether the request asked for a connection and got none. A transport that reports neither may have sent
-// it.
-func (w *connWait) inVain() bool { return w.asked.Load() && !w.got.Load() }
+// inVain reports whether the request certainly got no connection from the transport; nil means http.DefaultTransport. Another
+// transport than Go's own may have sent it without a report.
+func (w *connWait) inVain(rt http.RoundTripper) bool {
+	if rt == nil {
+		rt = http.DefaultTransport
+	}
+	_, reports := rt.(*http.Transport)
+	return !w.got.Load() && (reports || w.asked.Load())
+}
 
 // problemFromResponse returns the error of a response that is not 2xx. What answers with a 5xx in another form, such as a
 // proxy, may have passed the request on.
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,16 +41,8 @@
 	<-r.Context().Done()
 }
 
-// unusedAddr returns an address at which nothing listens.
-func unusedAddr(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
+// unusedAddr is an address at which nothing listens: its port is not among those that the system gives out.
+const unusedAddr = "127.0.0.1:1"
 
 // A caller learns that nothing ran only if no attempt can have reached a node, whichever attempt is the last.
 func TestErrorTellsWhetherTheRequestMayHaveRun(t *testing.T) {
@@ -59,7 +51,7 @@
 		invalid = `{"error":"invalid-field","message":"no","ran":"no","next":"change the request"}`
 		lost    = `{"error":"no-answer","message":"lost","ran":"unknown","next":"ask again"}`
 	)
-	down, dropping, hanging := unusedAddr(t), startNode(t, dropAnswer), startNode(t, hang)
+	down, dropping, hanging := unusedAddr, startNode(t, dropAnswer), startNode(t, hang)
 	cases := map[string]struct {
 		addrs   []string
 		timeout time.Duration
@@ -120,3 +112,31 @@
 	is.True(errors.Is(err, ErrNotKnown))
 	is.True(!errors.Is(err, ErrUnreached))
 }
+
+// endingContext ends after the first look at its error.
+type endingContext struct{ looks atomic.Int32 }
+
+func (c *endingContext) Deadline() (time.Time, bool) { return time.Time{}, false }
+
+func (c *endingContext) Value(any) any { return nil }
+
+func (c *endingContext) Err() error {
+	if c.looks.Add(1) == 1 {
+		return nil
+	}
+	return context.DeadlineExceeded
+}
+
+func (c *endingContext) Done() <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+// A context may end after the last look at it and before the transport asks for a connection.
+func TestTimeThatEndsBeforeTheConnectionIsUnreached(t *testing.T) {
+	is := is.New(t)
+	_, err := (&Client{Addrs: []string{startNode(t, dropAnswer)}}).Submit(&endingContext{}, model.JobSpec{Workspace: "a", Key: "k"})
+	is.True(errors.Is(err, ErrUnreached))
+	is.True(!errors.Is(err, ErrNotKnown))
+}
