leader: a removed job does not return with a row that was read before

Hypotheses: a read of all jobs that began before the removal is applied after it; the removal takes effect after the record's; a takeover reads jobs and records at different times. The second run is ordered by the same owner in the same epoch (no takeover), and the rows that are added anew have a lower version than a removal that the owner knows to have taken effect.

Cause: a job without a record counts as just accepted. The owner forgot a job once it was removed, and nothing compared a row that arrives later with that removal. The same for a feed that was away for longer than jobs are kept, for late messages of nodes, and for the state and the count that a node reads from the store itself. A job was also removed while its end was not durable.

Change: the owner keeps the version of a removal until it has followed the feed beyond it and ignores older rows (event row-stale); messages carry versions; only jobs with a durable end are removed; a new job's record is not deleted with that of an earlier job of its id; a state without a record is read once more, and counts read records first.

Conclusion: fixed, with no bound in time, so it holds however long a read takes. Cancellations of jobs that are gone stay for good; that is a fault of its own.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -244,6 +244,8 @@
 	ID string `json:"id"`
 	// Work is the row's value.
 	Work []byte `json:"work"`
+	// Version is the row's version.
+	Version uint64 `json:"version"`
 }
 
 // notifyOwner notifies the owner of a job or a cancellation that was just stored. The owner's feed may be slow, or may
@@ -256,7 +258,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		var out struct{}
-		err := n.call(ctx, addr, "Note", &noteRequest{ID: row.Key, Work: row.Value}, &out)
+		err := n.call(ctx, addr, "Note", &noteRequest{ID: row.Key, Work: row.Value, Version: row.Version}, &out)
 		cancel()
 		if err == nil {
 			return
@@ -268,7 +270,7 @@
 // handleNote passes a row that another node has stored to the owner, if it runs on this node.
 func (n *Node) handleNote(_ context.Context, in *noteRequest) (*struct{}, error) {
 	if o := n.Candidate.LocalOwner(); o != nil {
-		o.ApplyAccepted(rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(strings.TrimSuffix(in.ID, leader.CancelSuffix)), Key: in.ID, Value: in.Work})
+		o.ApplyAccepted(rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(strings.TrimSuffix(in.ID, leader.CancelSuffix)), Key: in.ID, Value: in.Work, Version: in.Version})
 	}
 	return &struct{}{}, nil
 }
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -87,7 +87,7 @@
 	}
 	row := rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(w.ID), Key: w.ID, Value: value}
 	started := n.now()
-	repeated, err := n.commitIfAbsent(ctx, row)
+	row, repeated, err := n.commitIfAbsent(ctx, row)
 	if err != nil {
 		return err
 	}
@@ -106,8 +106,8 @@
 }
 
 // commitIfAbsent writes a row if it is absent, with a limited number of attempts while the store refuses it.
-// repeated reports that the row already existed.
-func (n *Node) commitIfAbsent(ctx context.Context, row rows.Row) (repeated bool, err error) {
+// It returns the row with its version; repeated reports that the row already existed.
+func (n *Node) commitIfAbsent(ctx context.Context, row rows.Row) (stored rows.Row, repeated bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, maxWriteTries*writeTryTimeout)
 	defer cancel()
 	absent := rows.Row{Table: row.Table, Part: row.Part, Key: row.Key}
@@ -117,26 +117,32 @@
 		Applied:  func(r rows.Row) bool { return bytes.Equal(r.Value, row.Value) },
 		Answered: func(err error) { n.recordWriteResult(ctx, err) },
 	}
+	var refused error
 	for try := range maxWriteTries {
 		if try > 0 {
 			clock.Sleep(ctx, writeRetryDelay+rand.N(writeRetryDelay))
 		}
 		sent := n.now()
-		_, _, err = n.Rows.CommitKnown(ctx, txn, probe)
+		version, present, err := n.Rows.CommitKnown(ctx, txn, probe)
 		switch {
 		case err == nil:
 			n.lastWriteTook.Store(int64(n.now() - sent))
-			return false, nil
+			row.Version = version
+			return row, false, nil
 		case errors.Is(err, rows.ErrConflict):
-			return true, nil
+			if len(present) > 0 {
+				row.Version = present[0].Version
+			}
+			return row, true, nil
 		case errors.Is(err, rows.ErrOutcomeUnknown):
-			return false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+			return row, false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 		}
+		refused = err
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return false, fmt.Errorf("%w: %w", ErrBusy, err)
+	return row, false, fmt.Errorf("%w: %w", ErrBusy, refused)
 }
 
 // recordWriteResult records the result of a call to the store, unless the call was cut short by ctx, which says
@@ -156,7 +162,8 @@
 		return false, fmt.Errorf("%w: %w", ErrBusy, err)
 	}
 	row := rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(id), Key: id + leader.CancelSuffix, Value: []byte("{}")}
-	if _, err := n.commitIfAbsent(ctx, row); err != nil {
+	row, _, err = n.commitIfAbsent(ctx, row)
+	if err != nil {
 		return false, err
 	}
 	if o := n.Candidate.LocalOwner(); o != nil {
@@ -240,16 +247,17 @@
 	return n.scan.counts[queue], nil
 }
 
-// scanUnstarted reads the store and counts the unstarted jobs by queue.
+// scanUnstarted reads the store and counts the unstarted jobs by queue. Records are read first: a job that is removed
+// between the two reads must not seem to have none.
 func (n *Node) scanUnstarted(ctx context.Context) (map[string]int, error) {
-	work, err := n.Rows.ReadParts(ctx, leader.WorkTable, leader.WorkPartNames())
-	if err != nil {
-		return nil, fmt.Errorf("read work: %w", err)
-	}
 	records, err := n.Rows.ReadPart(ctx, leader.RecordTable, "")
 	if err != nil {
 		return nil, fmt.Errorf("read records: %w", err)
 	}
+	work, err := n.Rows.ReadParts(ctx, leader.WorkTable, leader.WorkPartNames())
+	if err != nil {
+		return nil, fmt.Errorf("read work: %w", err)
+	}
 	excluded := map[string]bool{}
 	for _, r := range records.Rows {
 		rec, err := sched.DecodeRecord(r.Value)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,7 @@
 	TableBack      ID = 703
 	StoreFailed    ID = 704
 	RecordTrimmed  ID = 706
+	RowStale       ID = 707
 	RowCorrupt     ID = 705
 	WorkerLeaving  ID = 710
 	WorkerGone     ID = 711
@@ -177,6 +178,7 @@
 	{StoreFailed, "store-failed", zerolog.WarnLevel, "A call of the platform's store failed; the line names the call."},
 	{RowCorrupt, "row-corrupt", zerolog.ErrorLevel, "A row of the store could not be read and is left alone."},
 	{RecordTrimmed, "record-trimmed", zerolog.WarnLevel, "The state of a job is too large for a row of the store; its tasks' checkpoints were left out."},
+	{RowStale, "row-stale", zerolog.InfoLevel, "A row that was read before its job was removed is ignored."},
 	{WorkerLeaving, "worker-leaving", zerolog.InfoLevel, "A worker gets nothing new; the line says who told."},
 	{WorkerGone, "worker-gone", zerolog.WarnLevel, "A worker is taken as lost."},
 	{WorkerBack, "worker-back", zerolog.InfoLevel, "A worker joined or came back."},
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -86,6 +86,8 @@
 		}
 	}
 	if len(o.dirtyJobs) == 0 {
+		// The record of a job that has been accepted anew under its id is the new job's.
+		o.pendingDeletes = slices.DeleteFunc(o.pendingDeletes, func(r rows.Row) bool { return o.work[r.Key] != nil })
 		if n := min(len(o.pendingDeletes), maxTxnEntries-2-len(t.txn.Put)); n > 0 {
 			t.txn.Delete, o.pendingDeletes = o.pendingDeletes[:n:n], o.pendingDeletes[n:]
 		}
--- a/internal/leader/follow.go
+++ b/internal/leader/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strings"
 	"time"
 
@@ -40,10 +41,8 @@
 		}
 		failures, wait, margin = 0, feedWait, feedMargin
 		after = page.Next(after)
-		if len(page.Rows) == 0 {
-			continue
-		}
-		o.post(func() { o.applyWorkRows(page.Rows) })
+		reached := after
+		o.post(func() { o.applyWorkPage(page.Rows, reached) })
 	}
 }
 
@@ -70,13 +69,18 @@
 		clock.Sleep(o.ctx, retryPauseMin)
 		return after
 	}
-	o.post(func() { o.applyWorkRows(page.Rows) })
-	return max(after, page.Version)
+	after = max(after, page.Version)
+	o.post(func() { o.applyWorkPage(page.Rows, after) })
+	return after
 }
 
 // applyWorkRow applies a row of WorkTable: an accepted job, with its stored record if there is one, or a
-// cancellation.
+// cancellation. A row that was read before its job was removed is ignored: without a record the job would run again.
 func (o *Owner) applyWorkRow(r rows.Row, record []byte) {
+	if removed := o.removed[strings.TrimSuffix(r.Key, CancelSuffix)]; r.Version < removed {
+		o.lead.Log.Emit(event.RowStale).Str("key", r.Key).Uint64("version", r.Version).Uint64("removed", removed).Int64("epoch", o.epoch).Send()
+		return
+	}
 	if id, ok := strings.CutSuffix(r.Key, CancelSuffix); ok {
 		if !r.Deleted {
 			o.applyCancel(id)
@@ -101,7 +105,7 @@
 		o.finals[r.Key] = j.Final
 	}
 	o.engine.Add(j, o.moment())
-	if o.earlyCancels[w.ID] {
+	if _, cancelled := o.earlyCancels[w.ID]; cancelled {
 		delete(o.earlyCancels, w.ID)
 		o.engine.Cancel(w.ID, o.moment())
 	}
@@ -110,26 +114,33 @@
 // applyCancel cancels a job, or remembers the cancellation until the job is known.
 func (o *Owner) applyCancel(id string) {
 	if o.work[id] == nil {
-		o.earlyCancels[id] = true
+		if _, known := o.earlyCancels[id]; !known {
+			o.earlyCancels[id] = o.lead.now()
+		}
 		return
 	}
 	o.engine.Cancel(id, o.moment())
 }
 
-// applyWorkRows applies rows of WorkTable that have no record yet and requests a scheduling pass.
-func (o *Owner) applyWorkRows(rs []rows.Row) {
+// applyWorkPage applies rows of WorkTable that have no record yet and requests a scheduling pass. With them all changes
+// up to a version of the store have been read, so that no later read shows what was removed before.
+func (o *Owner) applyWorkPage(rs []rows.Row, reached uint64) {
 	for _, r := range rs {
 		o.applyWorkRow(r, nil)
 	}
-	o.passDue = true
+	o.followed = max(o.followed, reached)
+	maps.DeleteFunc(o.removed, func(_ string, version uint64) bool { return version <= o.followed })
+	o.passDue = o.passDue || len(rs) > 0
 }
 
 // ApplyAccepted applies a job or cancellation that a node has just made durable, before the feed delivers it. It
-// does not block.
+// does not block. A row that the feed has delivered already is ignored, since the job may have been removed since.
 func (o *Owner) ApplyAccepted(r rows.Row) {
 	apply := func() {
-		if o.rebuilt.Load() { // until then the job's record is not known
-			o.applyWorkRows([]rows.Row{r})
+		// Until the stored state has been read the job's record is not known.
+		if o.rebuilt.Load() && r.Version > o.followed {
+			o.applyWorkRow(r, nil)
+			o.passDue = true
 		}
 	}
 	select {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -376,7 +376,7 @@
 }
 
 // ReadJobState reads a job's state from the store, for a node that can't ask the owner. A job that is not stored
-// has Known false.
+// has Known false. A job without a record has not started, unless both were removed between the two reads.
 func ReadJobState(ctx context.Context, s *rows.Store, id string) (JobState, error) {
 	work, err := s.Get(ctx, WorkTable, WorkPart(id), id)
 	if err != nil {
@@ -390,6 +390,13 @@
 		return JobState{}, fmt.Errorf("read the record of job %s: %w", id, err)
 	}
 	if row.Version == 0 {
+		again, err := s.Get(ctx, WorkTable, WorkPart(id), id)
+		if err != nil {
+			return JobState{}, fmt.Errorf("read job %s again: %w", id, err)
+		}
+		if again.Version != work.Version {
+			return JobState{}, nil
+		}
 		return JobState{Known: true, State: sched.Queued}, nil
 	}
 	r, err := sched.DecodeRecord(row.Value)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -237,8 +237,14 @@
 // startSimulation starts a simulation with workers and nodes and waits until a node owns the jobs. stop
 // ends the nodes and lets delayed writes and orders arrive.
 func startSimulation(workers, count int) (sim *simulation, nodes []*testNode, stop func()) {
+	return startWithRetention(workers, count, 0)
+}
+
+// startWithRetention is startSimulation with nodes that keep ended jobs for a time.
+func startWithRetention(workers, count int, retention time.Duration) (sim *simulation, nodes []*testNode, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	sim = newSimulation(workers)
+	sim.retention = retention
 	cores := make([]float64, count)
 	for i := range cores {
 		cores[i] = testCores
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -68,10 +68,15 @@
 	committedVersion atomic.Uint64
 
 	engine       sched.Engine
-	work         map[string]*model.Work // every known job's specification, by id
-	finals       map[string]sched.State // durable final states
-	earlyCancels map[string]bool        // cancellations of jobs that are not known yet
-	sessions     map[string]*session    // by worker id
+	work         map[string]*model.Work   // every known job's specification, by id
+	finals       map[string]sched.State   // durable final states
+	earlyCancels map[string]time.Duration // cancellations of jobs that are not known, by id, with when they became known
+	// followed is the version of the store up to which all changes of WorkTable have been applied. removed has the
+	// version of the transaction that removed a job, by id, until followed reaches it: a read that began before may
+	// still show the job.
+	followed uint64
+	removed  map[string]uint64
+	sessions map[string]*session // by worker id
 	// silentAt has, by address, the workers that have not answered since runs there were given up, of which it is
 	// not known whether they have crashed. A later worker at the address tells.
 	silentAt       map[string]*session
@@ -139,7 +144,7 @@
 	o := &Owner{
 		lead: l, epoch: row.Epoch, takenAt: sent, row: row, rowVersion: version, ctx: ctx, cancel: cancel,
 		inbox: make(chan func(), inboxSize), work: map[string]*model.Work{}, finals: map[string]sched.State{},
-		earlyCancels: map[string]bool{}, sessions: map[string]*session{}, confirmedRuns: map[sched.TaskRef]startOutcome{},
+		earlyCancels: map[string]time.Duration{}, removed: map[string]uint64{}, sessions: map[string]*session{}, confirmedRuns: map[sched.TaskRef]startOutcome{},
 		dirtyJobs: map[string]bool{}, silentAt: map[string]*session{},
 	}
 	o.committedAt.Store(int64(sent))
@@ -368,6 +373,7 @@
 		records[r.Key] = r.Value
 	}
 	o.tick()
+	o.followed = stored.work.Version
 	for _, r := range stored.work.Rows {
 		o.applyWorkRow(r, records[r.Key])
 		delete(records, r.Key)
@@ -492,51 +498,3 @@
 	ok := o.postAndWait(ctx, func() { n = o.engine.CountUnstarted(queue) })
 	return n, ok
 }
-
-// purge removes the rows of jobs that need no longer be available. The job is deleted before its record:
-// the next owner deletes a record without a job, but a job without its record would run again.
-func (o *Owner) purge() {
-	now := o.moment()
-	if now.Steady < o.nextPurgeAt || o.purging || len(o.pendingDeletes) > 0 {
-		return
-	}
-	o.nextPurgeAt = now.Steady + purgeInterval
-	o.dropOldLostRuns()
-	old := lo.Reject(o.engine.OldEnded(now.UnixMs-(2*o.lead.Bounds.EndedRetention).Milliseconds()),
-		func(id string, _ int) bool { return o.dirtyJobs[id] })
-	if len(old) == 0 {
-		return
-	}
-	o.purging = true
-	o.spawn(func() {
-		var gone []string
-		for part, ids := range lo.GroupBy(old, WorkPart) {
-			ids = ids[:min(len(ids), maxTxnEntries/2)]
-			var t rows.Txn
-			for _, id := range ids {
-				t.Delete = append(t.Delete, rows.Row{Table: WorkTable, Part: part, Key: id},
-					rows.Row{Table: WorkTable, Part: part, Key: id + CancelSuffix})
-			}
-			ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
-			_, _, err := o.lead.Rows.Commit(ctx, t)
-			cancel()
-			if err != nil {
-				o.lead.Log.Emit(event.StoreFailed).Str("op", "purge").Str("part", part).Err(err).Send()
-				continue // the next purge tries them again
-			}
-			gone = append(gone, ids...)
-		}
-		o.post(func() { o.forgetPurged(gone) })
-	})
-}
-
-// forgetPurged forgets the jobs that purge has deleted and queues their records for deletion.
-func (o *Owner) forgetPurged(ids []string) {
-	o.purging = false
-	for _, id := range ids {
-		o.engine.Forget(id)
-		delete(o.work, id)
-		delete(o.finals, id)
-		o.pendingDeletes = append(o.pendingDeletes, rows.Row{Table: RecordTable, Key: id})
-	}
-}
--- /dev/null
+++ b/internal/leader/purge.go
@@ -0,0 +1,85 @@
+package leader
+
+import (
+	"context"
+
+	"github.com/samber/lo"
+
+	"greengageline/internal/event"
+	"greengageline/internal/rows"
+)
+
+// removal is a transaction that removes rows of jobs, all of one part.
+type removal struct {
+	part string
+	ids  []string
+	txn  rows.Txn
+	// version is that of the transaction once it is known to have taken effect.
+	version uint64
+}
+
+// purge removes the rows of jobs that need no longer be available. The job is deleted before its record:
+// the next owner deletes a record without a job, but a job without its record would run again. For the same reason a job
+// stays until its final state is durable.
+func (o *Owner) purge() {
+	now := o.moment()
+	if now.Steady < o.nextPurgeAt || o.purging || len(o.pendingDeletes) > 0 {
+		return
+	}
+	o.nextPurgeAt = now.Steady + purgeInterval
+	o.dropOldLostRuns()
+	keep := 2 * o.lead.Bounds.EndedRetention
+	ended := lo.Filter(o.engine.OldEnded(now.UnixMs-keep.Milliseconds()), func(id string, _ int) bool {
+		_, durable := o.finals[id]
+		return durable && !o.dirtyJobs[id]
+	})
+	if len(ended) == 0 {
+		return
+	}
+	o.purging = true
+	o.spawn(func() {
+		jobs := o.remove("purge jobs", ended, removeJob)
+		o.post(func() {
+			o.purging = false
+			o.forgetJobs(jobs)
+		})
+	})
+}
+
+// removeJob adds the removal of a job and its cancellation to a transaction.
+func removeJob(t *rows.Txn, job, cancel rows.Row) { t.Delete = append(t.Delete, job, cancel) }
+
+// remove removes rows of the jobs in a transaction for each part, which add fills, and returns those that are known to
+// have taken effect. The next purge tries the others again.
+func (o *Owner) remove(op string, ids []string, add func(t *rows.Txn, job, cancel rows.Row)) []removal {
+	var done []removal
+	for part, ids := range lo.GroupBy(ids, WorkPart) {
+		r := removal{part: part, ids: ids[:min(len(ids), maxTxnEntries/2)]}
+		for _, id := range r.ids {
+			add(&r.txn, rows.Row{Table: WorkTable, Part: part, Key: id}, rows.Row{Table: WorkTable, Part: part, Key: id + CancelSuffix})
+		}
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		version, _, err := o.lead.Rows.Commit(ctx, r.txn)
+		cancel()
+		if err != nil {
+			o.lead.Log.Emit(event.StoreFailed).Str("op", op).Str("part", part).Err(err).Send()
+			continue
+		}
+		r.version = version
+		done = append(done, r)
+	}
+	return done
+}
+
+// forgetJobs forgets the jobs that were removed and queues their records for deletion.
+func (o *Owner) forgetJobs(removals []removal) {
+	for _, r := range removals {
+		for _, id := range r.ids {
+			o.engine.Forget(id)
+			delete(o.work, id)
+			delete(o.finals, id)
+			o.removed[id] = r.version
+			o.pendingDeletes = append(o.pendingDeletes, rows.Row{Table: RecordTable, Key: id})
+		}
+	}
+}
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -50,6 +51,8 @@
 	upkeepUntil  map[string]time.Duration
 	lastOrderBy  map[string]orderSource
 	upkeepOrders int
+	// retention is how long ended jobs are kept; 0 means two minutes.
+	retention time.Duration
 	// network carries orders through other nodes; nil means that no node carries any.
 	network *carryNetwork
 }
@@ -301,7 +304,7 @@
 func (sim *simulation) newNode(name string, cores float64) *testNode {
 	l := &Candidate{
 		Node: name, Addr: name, Rows: sim.store.client(name), Fleet: sim.fleet(name), Cores: cores, Site: sim.site(),
-		Bounds: Bounds{MaxLease: maxLease, KillGrace: killGrace, EndedRetention: 2 * time.Minute, RemoteDataFactor: 3},
+		Bounds: Bounds{MaxLease: maxLease, KillGrace: killGrace, EndedRetention: cmp.Or(sim.retention, 2*time.Minute), RemoteDataFactor: 3},
 		Plan:   sim.plan.get,
 		Now:    sim.now,
 	}
