leader: remove cancellations whose job is not stored

Operators would see the work table, and each owner's memory, grow by a row for each cancellation of a job that is gone.

Cause: cancellations are stored whether or not their job is, as it may be about to be accepted, and were removed only together with it. Ruled out: removals that fail, which the next purge repeats.

Change: twice the retention after the owner learned of it, a cancellation without a job is removed, on condition that the job's row is absent. The time begins anew with each owner.

--- a/internal/leader/purge.go
+++ b/internal/leader/purge.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -18,9 +21,9 @@
 	version uint64
 }
 
-// purge removes the rows of jobs that need no longer be available. The job is deleted before its record:
-// the next owner deletes a record without a job, but a job without its record would run again. For the same reason a job
-// stays until its final state is durable.
+// purge removes the rows of jobs that need no longer be available, and cancellations of jobs that never came. The job is
+// deleted before its record: the next owner deletes a record without a job, but a job without its record would run
+// again. For the same reason a job stays until its final state is durable.
 func (o *Owner) purge() {
 	now := o.moment()
 	if now.Steady < o.nextPurgeAt || o.purging || len(o.pendingDeletes) > 0 {
@@ -33,15 +36,20 @@
 		_, durable := o.finals[id]
 		return durable && !o.dirtyJobs[id]
 	})
-	if len(ended) == 0 {
+	unused := slices.Sorted(maps.Keys(lo.PickBy(o.earlyCancels, func(id string, _ time.Duration) bool {
+		return now.Steady-o.earlyCancels[id] > keep
+	})))
+	if len(ended)+len(unused) == 0 {
 		return
 	}
 	o.purging = true
 	o.spawn(func() {
 		jobs := o.remove("purge jobs", ended, removeJob)
+		cancels := o.remove("purge cancellations", unused, removeCancel)
 		o.post(func() {
 			o.purging = false
 			o.forgetJobs(jobs)
+			o.forgetCancels(cancels)
 		})
 	})
 }
@@ -49,6 +57,12 @@
 // removeJob adds the removal of a job and its cancellation to a transaction.
 func removeJob(t *rows.Txn, job, cancel rows.Row) { t.Delete = append(t.Delete, job, cancel) }
 
+// removeCancel adds the removal of a cancellation to a transaction, provided that its job has not been stored after all.
+func removeCancel(t *rows.Txn, job, cancel rows.Row) {
+	t.Conditions = append(t.Conditions, job)
+	t.Delete = append(t.Delete, cancel)
+}
+
 // remove removes rows of the jobs in a transaction for each part, which add fills, and returns those that are known to
 // have taken effect. The next purge tries the others again.
 func (o *Owner) remove(op string, ids []string, add func(t *rows.Txn, job, cancel rows.Row)) []removal {
@@ -83,3 +97,13 @@
 		}
 	}
 }
+
+// forgetCancels forgets the cancellations that were removed.
+func (o *Owner) forgetCancels(removals []removal) {
+	for _, r := range removals {
+		for _, id := range r.ids {
+			delete(o.earlyCancels, id)
+			o.removed[id] = r.version
+		}
+	}
+}
--- a/internal/leader/purge_test.go
+++ b/internal/leader/purge_test.go
@@ -38,8 +38,22 @@
 	return time.Duration(l.rnd.Int64N(int64(d)))
 }
 
+// storedRows returns the keys of the rows of jobs and records.
+func (m *fakeStore) storedRows() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for key, r := range m.rows {
+		if r.Table == WorkTable || r.Table == RecordTable {
+			out = append(out, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Guards against jobs that run again once their rows have been removed, because a read of the store that began before is
-// applied after (TWICE).
+// applied after (TWICE), and against rows and cancellations that are never removed.
 func TestRemovedJobsDoNotReturn(t *testing.T) {
 	const retention = 3 * time.Second
 	for name, c := range map[string]struct {
@@ -134,6 +148,7 @@
 					sim.store.lose.set(nil)
 					time.Sleep(2*retention + 4*purgeInterval)
 					is.Equal(sim.violations, nil)
+					is.Equal(sim.store.storedRows(), nil)
 					ran := map[string]bool{}
 					for _, ref := range sim.starts {
 						ran[ref] = true
@@ -198,3 +213,38 @@
 		})
 	}
 }
+
+// Guards against cancellations that stay for good as their job is never stored, and against removing one that its job
+// still needs.
+func TestUnusedCancelsAreRemoved(t *testing.T) {
+	const retention = 10 * time.Second
+	for name, c := range map[string]struct {
+		cancelAt, submitAt time.Duration // submitAt is 0 for a job that never comes
+		runs               bool
+	}{
+		"no job":            {cancelAt: time.Second},
+		"before the job":    {cancelAt: time.Second, submitAt: 2 * time.Second},
+		"just in time":      {cancelAt: time.Second, submitAt: 2*retention - time.Second},
+		"long after":        {cancelAt: 2*retention + 25*time.Second, submitAt: time.Second, runs: true},
+		"job long after":    {cancelAt: time.Second, submitAt: 2*retention + 15*time.Second, runs: true},
+		"while it ends":     {cancelAt: 2 * time.Second, submitAt: time.Second, runs: true},
+		"before its record": {cancelAt: time.Second, submitAt: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sim, _, stop := startWithRetention(1, 1, retention)
+				defer stop()
+				began := sim.now()
+				time.AfterFunc(c.cancelAt, func() { sim.cancel("j") })
+				if c.submitAt > 0 {
+					time.AfterFunc(c.submitAt, func() { sim.submit("j", "bulk", oneGPU(1)) })
+				}
+				time.Sleep(c.cancelAt + c.submitAt + 2*retention + 4*purgeInterval)
+				is.Equal(sim.store.storedRows(), nil)
+				is.Equal(len(sim.starts) > 0, c.runs)
+				t.Logf("took %s", sim.now()-began)
+			})
+		})
+	}
+}
