sched: a worker is kept for suspects only while they wait for isolation

Hypotheses: a worker that stays in quarantine or silent; workers that stay kept for suspects that do not use them; crashes that count on. Work stopped on the worker that had not crashed as well, and no further crash came; both workers had keptFor set without isolated runs.

Cause: a suspect waits 4 s for isolation and then starts beside other work, but the worker that had been vacated for it takes isolated work only and stayed kept until no suspect of its job waited. The restriction ended with an event that it prevented.

Change: a worker is opened once no suspect of its job waits for isolation any more. The wait of suspects does not begin anew with each other task of the step that starts.

--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -155,24 +155,41 @@
 }
 
 // openUnneeded opens the workers that are kept for a job that no longer waits for them.
-func (e *Engine) openUnneeded() {
+func (e *Engine) openUnneeded(now Moment) {
 	for w := range e.isolatedWorkers {
-		if w.isolatedRuns == 0 && !e.jobs[w.keptFor].hasWaitingSuspect() {
+		if w.isolatedRuns == 0 && !e.jobs[w.keptFor].awaitsIsolation(now) {
 			e.open(w)
 		}
 	}
 }
 
-// hasWaitingSuspect reports whether a suspect of the job waits to start.
-func (j *Job) hasWaitingSuspect() bool {
+// awaitsIsolation reports whether suspects of the job wait for workers of their own.
+func (j *Job) awaitsIsolation(now Moment) bool {
 	if j == nil || !j.Open() {
 		return false
 	}
-	return slices.ContainsFunc(j.Batches, func(steps []Batch) bool {
-		return slices.ContainsFunc(steps, func(b Batch) bool {
-			return slices.ContainsFunc(b.Tasks, func(t Task) bool { return t.suspect && t.Phase == Waiting })
-		})
-	})
+	for k := range j.Batches {
+		for s := range j.Batches[k] {
+			if b := &j.Batches[k][s]; b.hasWaitingSuspect() && !b.isolationOver(&j.Work.Steps[s], now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hasWaitingSuspect reports whether a suspect among the tasks waits to start.
+func (b *Batch) hasWaitingSuspect() bool {
+	return slices.ContainsFunc(b.Tasks, func(t Task) bool { return t.suspect && t.Phase == Waiting })
+}
+
+// isolationOver reports whether the suspects of a batch have waited long enough for workers of their own.
+func (b *Batch) isolationOver(step *model.Step, now Moment) bool {
+	wait := isolationWait
+	if step.Lasts {
+		wait = lastsIsolationWait
+	}
+	return b.suspectsWaitFrom != 0 && now.Steady-b.suspectsWaitFrom > wait
 }
 
 // splitSuspects returns the group, or two if only some of its tasks are suspects: those start on workers of
@@ -187,11 +204,7 @@
 	if b.suspectsWaitFrom == 0 {
 		b.suspectsWaitFrom = now.Steady
 	}
-	wait := isolationWait
-	if g.step.Lasts {
-		wait = lastsIsolationWait
-	}
-	if now.Steady-b.suspectsWaitFrom > wait {
+	if b.isolationOver(g.step, now) {
 		return []*group{g}
 	}
 	if g.step.Gang || len(suspects) == len(g.waiting) {
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -241,3 +241,122 @@
 	is.True(started > isolationWait)
 	is.True(started < isolationWait+time.Second)
 }
+
+// labelled returns a step of n tasks of one accelerator that need a label.
+func labelled(n int, label string) model.Step {
+	s := singleStep(n)
+	s.Label, s.Each.Accelerators = label, 1
+	return s
+}
+
+// Guards against workers that are kept for a job whose suspects no longer wait for workers of their own, so that
+// neither it nor any other work ever starts there (LOST).
+func TestWorkersKeptForSuspectsAreGivenBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind     int // workers of the kind, each with a long-running task
+		crashed  int // of them, and back after a second
+		suspects int // jobs that have just started when the workers crash
+		wide     bool
+		owner    bool // a new owner follows after the crash
+	}{
+		"one worker of a kind":           {kind: 1, crashed: 1, suspects: 1},
+		"one of two":                     {kind: 2, crashed: 1, suspects: 1},
+		"one of two, several suspects":   {kind: 2, crashed: 1, suspects: 3},
+		"both of two":                    {kind: 2, crashed: 2, suspects: 4},
+		"two of three":                   {kind: 3, crashed: 2, suspects: 2},
+		"a suspect that fits nowhere":    {kind: 1, crashed: 1, suspects: 1, wide: true},
+		"one of two, then a new owner":   {kind: 2, crashed: 1, suspects: 2, owner: true},
+		"all of three, then a new owner": {kind: 3, crashed: 3, suspects: 5, owner: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const others = 13
+			e := newEngine(others)
+			kind := map[string]Worker{}
+			addKind := func(e *Engine) {
+				for i := range c.kind {
+					w := Worker{ID: fmt.Sprintf("rare%d", i), Pool: "p", Rack: "rare", Labels: []string{"rare"}, Room: model.Room{Millicores: 64000, MemoryMB: 64000, Accelerators: 8}}
+					kind[w.ID] = w
+					e.SetWorker(w)
+				}
+			}
+			addKind(e)
+			lasting := labelled(c.kind, "rare")
+			lasting.Lasts, lasting.PerWorker = true, 1
+			jobs := map[string]*Job{"lasting": add(e, "lasting", "bulk", lasting)}
+			pass := func(at time.Duration) {
+				e.Pass(moment(at))
+				for _, o := range starts(e.TakeOrders()) {
+					e.Confirm(o.Task, o.Run, 0, "", moment(at))
+				}
+			}
+			pass(0)
+			for i := range c.suspects {
+				s := labelled(1, "rare")
+				s.Each.MemoryMB += i // of another shape, so that each has a worker kept
+				if c.wide && i == 0 {
+					s.Each.Accelerators = 7
+				}
+				id := fmt.Sprintf("suspect%d", i)
+				jobs[id] = add(e, id, "bulk", s)
+			}
+			at := 10 * time.Second
+			for i := range c.kind { // so that their crash is not put down to them
+				e.Confirm(TaskRef{Job: "lasting", Task: i}, jobs["lasting"].Batches[0][0].Tasks[i].Run, 100, "", moment(at))
+			}
+			pass(at)
+			at += 100 * time.Millisecond
+			for i := range c.crashed {
+				id := fmt.Sprintf("rare%d", i)
+				for ref, run := range e.RunsOn(id) {
+					known := 100 * time.Millisecond
+					if ref.Job == "lasting" {
+						known = 10 * time.Second
+					}
+					e.EndCrashed(ref, run, known, moment(at))
+				}
+				w := kind[id]
+				w.Silent = true
+				e.SetWorker(w)
+			}
+			pass(at)
+			at += time.Second
+			if c.owner {
+				next := newEngine(others)
+				next.Limits.FirstRun = 1000
+				addKind(next)
+				for id, j := range jobs {
+					r := j.Record()
+					data, err := r.Encode()
+					is.NoErr(err)
+					jobs[id], err = Restore(j.Work, data)
+					is.NoErr(err)
+					next.Add(jobs[id], moment(at))
+				}
+				e = next
+			}
+			addKind(e)
+			jobs["other"] = add(e, "other", "bulk", labelled(1, "rare"))
+			for until := at + isolationWait + time.Second; at < until; at += 100 * time.Millisecond {
+				pass(at)
+				for id := range e.jobs {
+					for i := range jobs[id].Batches[0][0].Tasks {
+						if tk := &jobs[id].Batches[0][0].Tasks[i]; tk.Phase == Placed {
+							e.Confirm(TaskRef{Job: id, Task: i}, tk.Run, min(100, int(at/(200*time.Millisecond))), "", moment(at))
+						}
+					}
+				}
+			}
+			for id, j := range jobs {
+				for i := range j.Batches[0][0].Tasks {
+					if tk := &j.Batches[0][0].Tasks[i]; tk.Phase != Placed && !(c.wide && id == "suspect0") {
+						t.Errorf("task %d of job %s waits", i, id)
+					}
+				}
+			}
+			for w := range e.isolatedWorkers {
+				is.True(w.isolatedRuns > 0) // nothing is kept any more
+			}
+		})
+	}
+}
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -25,8 +25,8 @@
 	e.startReserved(now)
 	e.refreshRacks(now)
 	e.clearClaims()
-	e.openUnneeded()
 	clear(e.utilizations)
+	e.openUnneeded(now)
 	unplaceable := map[shape]bool{}
 	e.startsLeft = budget
 	groups, unplaced := e.startOverdue(e.readyGroups(now), now)
@@ -526,7 +526,7 @@
 		run = e.lastRun
 		g.batch.run, g.batch.startedAt = run, now.Steady
 	}
-	g.batch.incomplete, g.batch.waitReason, g.batch.suspectsWaitFrom = false, "", 0
+	g.batch.incomplete, g.batch.waitReason = false, ""
 	delete(e.utilizations, g.queue.Pool)
 	e.startsLeft -= len(g.waiting)
 	for pos, i := range g.waiting {
@@ -554,6 +554,9 @@
 			Queue: g.queue.Name, Priority: g.queue.Priority, PlacedAt: now.Steady,
 		})
 	}
+	if g.batch.suspectsWaitFrom != 0 && !g.batch.hasWaitingSuspect() {
+		g.batch.suspectsWaitFrom = 0
+	}
 	e.changedJobs[g.ref.Job] = true
 }
 
