sched: work that has waited for 2 s may use any worker that can run it

Hypotheses: quarantine that is prolonged; a preference without an end; a task that counts as given up. The workers had a streak of one failure and no quarantine, the job stayed running, and another job of the kind started at once.

Cause: a failed task may use only workers without a failure since their last success, and not the one it failed on. Only a success of other work ends that. failedOn is stored, so one failure on the only worker of a kind lasted across owners.

Change: preferences hold for 2 s of waiting. After that, on a pool with room, or if the workers without failures could not hold the work, it may use any worker, those without failures first; it preempts nothing. Quarantine, workers kept for suspects, isolation and the rack of the data follow the same rule on a pool of which up to 55 % is in use.

It costs some failed runs where few sound workers are left.

--- a/internal/sched/assign.go
+++ b/internal/sched/assign.go
@@ -10,20 +10,31 @@
 	w       *worker
 	n       int
 	freeSum float64
-	doubted bool
+	doubt   int // as returned by doubt
 	at      int // its position among the workers considered
 }
 
 // compareCandidates orders candidates as they are filled: workers that have answered and have no recent failures come
 // first, and of those the fullest.
 func compareCandidates(a, b candidate) int {
-	if a.doubted != b.doubted {
-		if a.doubted {
-			return 1
-		}
-		return -1
+	return cmp.Or(cmp.Compare(a.doubt, b.doubt), cmp.Compare(a.freeSum, b.freeSum), cmp.Compare(a.at, b.at))
+}
+
+// doubt returns how doubtful it is that the worker carries out a run of the group: 0 for one that has answered and has no
+// recent failures, 2 for one in quarantine or on which one of the waiting tasks failed last, and else 1.
+func (g *group) doubt(w *worker, now Moment) int {
+	switch {
+	case w.failureStreak == 0 && !w.Unproven:
+		return 0
+	case w.quarantined(now) || g.failedOn(w):
+		return 2
 	}
-	return cmp.Or(cmp.Compare(a.freeSum, b.freeSum), cmp.Compare(a.at, b.at))
+	return 1
+}
+
+// failedOn reports whether one of the waiting tasks failed last on the worker.
+func (g *group) failedOn(w *worker) bool {
+	return slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].failedOn == w.ID })
 }
 
 // minShortlist is the least number of candidates after which a shortlist is cut.
@@ -76,7 +87,7 @@
 				continue
 			}
 			if n := free.Times(need, g.quota(w)); n > 0 {
-				s.add(candidate{w, n, freeFractions(free, w.Room), w.failureStreak > 0 || w.Unproven, at})
+				s.add(candidate{w, n, freeFractions(free, w.Room), g.doubt(w, now), at})
 				fits += n
 			}
 		}
--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -157,20 +157,20 @@
 // openUnneeded opens the workers that are kept for a job that no longer waits for them.
 func (e *Engine) openUnneeded(now Moment) {
 	for w := range e.isolatedWorkers {
-		if w.isolatedRuns == 0 && !e.jobs[w.keptFor].awaitsIsolation(now) {
+		if w.isolatedRuns == 0 && !e.awaitsIsolation(e.jobs[w.keptFor], now) {
 			e.open(w)
 		}
 	}
 }
 
 // awaitsIsolation reports whether suspects of the job wait for workers of their own.
-func (j *Job) awaitsIsolation(now Moment) bool {
+func (e *Engine) awaitsIsolation(j *Job, now Moment) bool {
 	if j == nil || !j.Open() {
 		return false
 	}
 	for k := range j.Batches {
 		for s := range j.Batches[k] {
-			if b := &j.Batches[k][s]; b.hasWaitingSuspect() && !b.isolationOver(&j.Work.Steps[s], now) {
+			if b := &j.Batches[k][s]; b.hasWaitingSuspect() && !e.isolationOver(b, &j.Work.Steps[s], e.queue(j).Pool, now) {
 				return true
 			}
 		}
@@ -183,11 +183,15 @@
 	return slices.ContainsFunc(b.Tasks, func(t Task) bool { return t.suspect && t.Phase == Waiting })
 }
 
-// isolationOver reports whether the suspects of a batch have waited long enough for workers of their own.
-func (b *Batch) isolationOver(step *model.Step, now Moment) bool {
+// isolationOver reports whether the suspects of a batch have waited long enough for workers of their own. On a pool of
+// which little is used no work may wait for long.
+func (e *Engine) isolationOver(b *Batch, step *model.Step, pool string, now Moment) bool {
 	wait := isolationWait
-	if step.Lasts {
+	switch {
+	case step.Lasts:
 		wait = lastsIsolationWait
+	case e.utilization(pool) <= yieldMinUtilization:
+		wait = relaxAfter
 	}
 	return b.suspectsWaitFrom != 0 && now.Steady-b.suspectsWaitFrom > wait
 }
@@ -204,7 +208,7 @@
 	if b.suspectsWaitFrom == 0 {
 		b.suspectsWaitFrom = now.Steady
 	}
-	if b.isolationOver(g.step, now) {
+	if e.isolationOver(b, g.step, g.queue.Pool, now) {
 		return []*group{g}
 	}
 	if g.step.Gang || len(suspects) == len(g.waiting) {
@@ -218,14 +222,28 @@
 }
 
 // sharesWith reports whether the group may start on a worker as far as isolation goes: a suspect only where
-// nothing but its own job runs, other work only where no suspect has or awaits the worker.
-func (g *group) sharesWith(w *worker) bool {
+// nothing but its own job runs, other work only where no suspect has or awaits the worker. Work that is relaxed need not
+// leave a worker to suspects that wait, or have lived through their start.
+func (g *group) sharesWith(w *worker, now Moment) bool {
 	if !g.isolated {
-		return w.keptFor == ""
+		return w.keptFor == "" || g.relaxed && !w.startsSuspect(now)
 	}
 	return (w.keptFor == "" || w.keptFor == g.ref.Job) && len(w.tasks) == w.isolatedRuns && w.reserved == (model.Room{})
 }
 
+// startsSuspect reports whether a suspect has run on the worker for less than crashWindow.
+func (w *worker) startsSuspect(now Moment) bool {
+	if w.isolatedRuns == 0 {
+		return false
+	}
+	for _, t := range w.tasks {
+		if t.isolated && (!t.Confirmed || now.Steady-t.confirmedAt <= crashWindow) {
+			return true
+		}
+	}
+	return false
+}
+
 // vacate keeps the least used workers for a group of suspects that found no empty ones, so that they become
 // empty. At most maxIsolatedFraction of the pool is kept in this way.
 func (e *Engine) vacate(g *group) {
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -249,6 +249,89 @@
 	return s
 }
 
+// rareSim has jobs of a kind of which there are few workers, beside many others.
+type rareSim struct {
+	t    *testing.T
+	e    *Engine
+	kind int // workers of the kind
+	jobs map[string]*Job
+	now  time.Duration
+}
+
+const rareOthers = 13
+
+// newOwner replaces the engine, if there is one, by another made from the records.
+func (s *rareSim) newOwner() {
+	first := s.e == nil
+	s.e = newEngine(rareOthers)
+	s.restoreWorkers()
+	if first {
+		return
+	}
+	s.e.Limits.FirstRun = 1000
+	for id, j := range s.jobs {
+		r := j.Record()
+		data, err := r.Encode()
+		if err == nil {
+			s.jobs[id], err = Restore(j.Work, data)
+		}
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.e.Add(s.jobs[id], moment(s.now))
+	}
+}
+
+func (s *rareSim) worker(i int) Worker {
+	return Worker{ID: fmt.Sprintf("rare%d", i), Pool: "p", Rack: "rare", Labels: []string{"rare"}, Room: model.Room{Millicores: 64000, MemoryMB: 64000, Accelerators: 8}}
+}
+
+// restoreWorkers adds the workers of the kind, or brings them back.
+func (s *rareSim) restoreWorkers() {
+	for i := range s.kind {
+		s.e.SetWorker(s.worker(i))
+	}
+}
+
+// pass makes a pass after a time, and confirms the progress of all runs.
+func (s *rareSim) pass(after time.Duration) {
+	s.now += after
+	s.e.Pass(moment(s.now))
+	s.e.TakeOrders()
+	for id, j := range s.jobs {
+		for i := range j.Batches[0][0].Tasks {
+			if tk := &j.Batches[0][0].Tasks[i]; tk.Phase == Placed {
+				s.e.Confirm(TaskRef{Job: id, Task: i}, tk.Run, min(100, int(s.now/(200*time.Millisecond))), "", moment(s.now))
+			}
+		}
+	}
+}
+
+// crash crashes the first n workers of the kind.
+func (s *rareSim) crash(n int) {
+	for i := range n {
+		w := s.worker(i)
+		for ref, run := range s.e.RunsOn(w.ID) {
+			_, _, tk := s.e.find(ref)
+			s.e.EndCrashed(ref, run, moment(s.now).Steady-tk.confirmedAt, moment(s.now))
+		}
+		w.Silent = true
+		s.e.SetWorker(w)
+	}
+}
+
+// waiting returns the tasks that wait.
+func (s *rareSim) waiting() (out []string) {
+	for id, j := range s.jobs {
+		for i := range j.Batches[0][0].Tasks {
+			if j.Batches[0][0].Tasks[i].Phase != Placed {
+				out = append(out, fmt.Sprintf("%s.%d", id, i))
+			}
+		}
+	}
+	return out
+}
+
 // Guards against workers that are kept for a job whose suspects no longer wait for workers of their own, so that
 // neither it nor any other work ever starts there (LOST).
 func TestWorkersKeptForSuspectsAreGivenBack(t *testing.T) {
@@ -258,103 +341,49 @@
 		suspects int // jobs that have just started when the workers crash
 		wide     bool
 		owner    bool // a new owner follows after the crash
+		waiting  []string
 	}{
 		"one worker of a kind":           {kind: 1, crashed: 1, suspects: 1},
 		"one of two":                     {kind: 2, crashed: 1, suspects: 1},
 		"one of two, several suspects":   {kind: 2, crashed: 1, suspects: 3},
 		"both of two":                    {kind: 2, crashed: 2, suspects: 4},
 		"two of three":                   {kind: 3, crashed: 2, suspects: 2},
-		"a suspect that fits nowhere":    {kind: 1, crashed: 1, suspects: 1, wide: true},
+		"a suspect that fits nowhere":    {kind: 1, crashed: 1, suspects: 1, wide: true, waiting: []string{"suspect0.0"}},
 		"one of two, then a new owner":   {kind: 2, crashed: 1, suspects: 2, owner: true},
 		"all of three, then a new owner": {kind: 3, crashed: 3, suspects: 5, owner: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			const others = 13
-			e := newEngine(others)
-			kind := map[string]Worker{}
-			addKind := func(e *Engine) {
-				for i := range c.kind {
-					w := Worker{ID: fmt.Sprintf("rare%d", i), Pool: "p", Rack: "rare", Labels: []string{"rare"}, Room: model.Room{Millicores: 64000, MemoryMB: 64000, Accelerators: 8}}
-					kind[w.ID] = w
-					e.SetWorker(w)
-				}
-			}
-			addKind(e)
+			s := &rareSim{t: t, kind: c.kind, jobs: map[string]*Job{}}
+			s.newOwner()
 			lasting := labelled(c.kind, "rare")
 			lasting.Lasts, lasting.PerWorker = true, 1
-			jobs := map[string]*Job{"lasting": add(e, "lasting", "bulk", lasting)}
-			pass := func(at time.Duration) {
-				e.Pass(moment(at))
-				for _, o := range starts(e.TakeOrders()) {
-					e.Confirm(o.Task, o.Run, 0, "", moment(at))
-				}
-			}
-			pass(0)
+			s.jobs["lasting"] = add(s.e, "lasting", "bulk", lasting)
+			s.pass(0)
 			for i := range c.suspects {
-				s := labelled(1, "rare")
-				s.Each.MemoryMB += i // of another shape, so that each has a worker kept
-				if c.wide && i == 0 {
-					s.Each.Accelerators = 7
+				step := labelled(1, "rare")
+				step.Each.MemoryMB += i // of another shape, so that each has a worker kept
+				if c.wide {
+					step.Each.Accelerators = 7
 				}
 				id := fmt.Sprintf("suspect%d", i)
-				jobs[id] = add(e, id, "bulk", s)
-			}
-			at := 10 * time.Second
-			for i := range c.kind { // so that their crash is not put down to them
-				e.Confirm(TaskRef{Job: "lasting", Task: i}, jobs["lasting"].Batches[0][0].Tasks[i].Run, 100, "", moment(at))
-			}
-			pass(at)
-			at += 100 * time.Millisecond
-			for i := range c.crashed {
-				id := fmt.Sprintf("rare%d", i)
-				for ref, run := range e.RunsOn(id) {
-					known := 100 * time.Millisecond
-					if ref.Job == "lasting" {
-						known = 10 * time.Second
-					}
-					e.EndCrashed(ref, run, known, moment(at))
-				}
-				w := kind[id]
-				w.Silent = true
-				e.SetWorker(w)
+				s.jobs[id] = add(s.e, id, "bulk", step)
 			}
-			pass(at)
-			at += time.Second
+			s.pass(10 * time.Second)
+			s.now += 100 * time.Millisecond
+			s.crash(c.crashed)
+			s.pass(0)
+			s.now += time.Second
 			if c.owner {
-				next := newEngine(others)
-				next.Limits.FirstRun = 1000
-				addKind(next)
-				for id, j := range jobs {
-					r := j.Record()
-					data, err := r.Encode()
-					is.NoErr(err)
-					jobs[id], err = Restore(j.Work, data)
-					is.NoErr(err)
-					next.Add(jobs[id], moment(at))
-				}
-				e = next
+				s.newOwner()
 			}
-			addKind(e)
-			jobs["other"] = add(e, "other", "bulk", labelled(1, "rare"))
-			for until := at + isolationWait + time.Second; at < until; at += 100 * time.Millisecond {
-				pass(at)
-				for id := range e.jobs {
-					for i := range jobs[id].Batches[0][0].Tasks {
-						if tk := &jobs[id].Batches[0][0].Tasks[i]; tk.Phase == Placed {
-							e.Confirm(TaskRef{Job: id, Task: i}, tk.Run, min(100, int(at/(200*time.Millisecond))), "", moment(at))
-						}
-					}
-				}
-			}
-			for id, j := range jobs {
-				for i := range j.Batches[0][0].Tasks {
-					if tk := &j.Batches[0][0].Tasks[i]; tk.Phase != Placed && !(c.wide && id == "suspect0") {
-						t.Errorf("task %d of job %s waits", i, id)
-					}
-				}
+			s.restoreWorkers()
+			s.jobs["other"] = add(s.e, "other", "bulk", labelled(1, "rare"))
+			for until := s.now + isolationWait + time.Second; s.now < until; {
+				s.pass(100 * time.Millisecond)
 			}
-			for w := range e.isolatedWorkers {
+			is.Equal(s.waiting(), c.waiting)
+			for w := range s.e.isolatedWorkers {
 				is.True(w.isolatedRuns > 0) // nothing is kept any more
 			}
 		})
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -354,7 +354,7 @@
 	}
 	for _, w := range e.sortedWorkers {
 		st.Placed += len(w.tasks)
-		if now.Steady < w.blockedUntil {
+		if w.quarantined(now) || now.Steady < w.rejectedUntil {
 			st.Quarantined++
 		}
 		if w.Silent {
@@ -466,7 +466,7 @@
 		return
 	}
 	if w := e.workers[t.Worker]; w != nil {
-		w.blockedUntil = max(w.blockedUntil, now.Steady+rejectBackoff)
+		w.rejectedUntil = now.Steady + rejectBackoff
 	}
 	e.End(ref, run, Refused, "", now)
 }
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -30,6 +30,9 @@
 	overdue bool
 	// yields is set for a group that must leave room to waiting groups that rank before it.
 	yields bool
+	// relaxable is set if the group may use workers that it is otherwise kept from for a preference, as mayRelax says, and
+	// relaxed while it does.
+	relaxable, relaxed bool
 	// patient is set for a group that waits because preemption would lose too much for it. It claims no room: work that
 	// starts meanwhile has not yet much to lose.
 	patient bool
@@ -234,7 +237,7 @@
 	// Half of the extra time that spreading costs: the wait may turn out to be in vain, and then comes
 	// on top of that extra time.
 	maxWait := time.Duration(float64(g.step.EstimateMs)*(e.spreadFactor()-1)/2) * time.Millisecond
-	return waited >= maxWait
+	return waited >= maxWait || waited >= relaxAfter && e.utilization(g.queue.Pool) <= yieldMinUtilization
 }
 
 // spreadFactor returns how many times as long a task takes away from its data or on several racks.
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -57,6 +57,7 @@
 			e.noteWait(g, ForIsolation, now)
 			continue
 		}
+		g.relaxable = e.mayRelax(g, now)
 		key := g.shape()
 		if unplaceable[key] {
 			e.noteWait(g, ForRoom, now)
@@ -66,7 +67,7 @@
 			e.noteUnreached(groups[i:], now)
 			return true // the next pass places it first
 		}
-		if !e.place(g, now) {
+		if !e.placeOrRelax(g, now) {
 			unplaceable[key] = !g.patient
 			e.recordUnplaced(g, now)
 		}
@@ -170,7 +171,7 @@
 	tasks, perWorker    int
 	oneRack, guaranteed bool
 	healthyOnly, yields bool
-	isolated            bool
+	isolated, relaxable bool
 	priority            int
 	// batch is set for a group that may fail where others of its shape would not: one with a limit per
 	// worker, workers to avoid, or an adviser.
@@ -190,7 +191,7 @@
 	return shape{
 		batch: batch, pool: g.queue.Pool, label: g.step.Label, rack: g.step.DataRack, need: g.step.Need(), tasks: n,
 		perWorker: g.step.PerWorker, oneRack: g.step.OneRack, guaranteed: g.guaranteed, healthyOnly: g.needsHealthyWorkers(),
-		yields: g.yields, isolated: g.isolated, priority: g.queue.Priority,
+		yields: g.yields, isolated: g.isolated, relaxable: g.relaxable, priority: g.queue.Priority,
 	}
 }
 
@@ -198,7 +199,7 @@
 // use workers without recent failures. Long-running tasks may fail at any time and must be running, so
 // they may use any worker; those with recent failures come last.
 func (g *group) needsHealthyWorkers() bool {
-	if g.step.Lasts {
+	if g.step.Lasts || g.relaxed {
 		return false
 	}
 	return g.batch.Failures > 0 || slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].Failures > 0 })
@@ -216,7 +217,7 @@
 			return true
 		}
 		if g.step.Gang {
-			return e.preempt(g, now)
+			return !g.relaxed && e.preempt(g, now)
 		}
 		if !g.maySpread(e, now) {
 			return false
@@ -225,7 +226,7 @@
 	if e.placeEach(g, now) || g.step.Lasts && e.placeOnDraining(g, now) {
 		return true
 	}
-	return e.preempt(g, now)
+	return !g.relaxed && e.preempt(g, now)
 }
 
 // placeOnDraining places waiting long-running tasks on workers that are being drained, and reports whether
@@ -481,11 +482,11 @@
 // capacity is free. With healthyOnly, workers with failures since their last success or on which one of
 // the waiting tasks failed last are left out.
 func (g *group) eligible(w *worker, healthyOnly bool, now Moment) bool {
-	mayStart := w.schedulable(now) || g.onDraining && w.responsive(now)
-	if !mayStart || w.Room.Times(g.step.Need(), 1) == 0 {
+	mayStart := w.responsive(now) || g.relaxed && w.reachable(now)
+	if !mayStart || w.Draining && !g.onDraining || w.Room.Times(g.step.Need(), 1) == 0 {
 		return false
 	}
-	if !g.sharesWith(w) {
+	if !g.sharesWith(w, now) {
 		return false
 	}
 	if g.yields && w.claimed && w.claimRank < g.rank() {
@@ -494,7 +495,7 @@
 	if g.step.Label != "" && !slices.Contains(w.Labels, g.step.Label) {
 		return false
 	}
-	if healthyOnly && (w.failureStreak > 0 || slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].failedOn == w.ID })) {
+	if healthyOnly && (w.failureStreak > 0 || g.failedOn(w)) {
 		return false
 	}
 	return !g.batch.incomplete || !slices.ContainsFunc(g.waiting, func(i int) bool { return g.batch.Tasks[i].avoidWorker == w.ID })
@@ -563,6 +564,8 @@
 // reason returns the reason for starting the group, for the log.
 func (g *group) reason() string {
 	switch {
+	case g.relaxed:
+		return "no preferred worker has taken it in time"
 	case g.overdue:
 		return "nothing of it runs while starts are limited"
 	case g.guaranteed:
--- a/internal/sched/racks.go
+++ b/internal/sched/racks.go
@@ -28,7 +28,7 @@
 		r.free, r.room = model.Room{}, model.Room{}
 		for _, w := range r.workers {
 			r.room = r.room.Plus(w.Room, 1)
-			if w.schedulable(now) {
+			if !w.Draining && w.reachable(now) {
 				r.free = r.free.Plus(w.available(), 1)
 			}
 		}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -216,7 +216,7 @@
 func (e *Engine) mayQuarantine(now Moment) bool {
 	n := 0
 	for _, w := range e.sortedWorkers {
-		if now.Steady < w.blockedUntil {
+		if w.quarantined(now) || now.Steady < w.rejectedUntil {
 			n++
 		}
 	}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -205,10 +205,12 @@
 	rack           *rack // nil until the next refreshRacks
 	tasks          map[TaskRef]*Task
 	// failureStreak counts failures since the last success; consecutive failures of one job count once.
-	// blockedUntil is until when the worker gets no new work.
+	// blockedUntil is until when the worker is in quarantine: it gets no new work but what nothing else can run.
+	// rejectedUntil is until when it gets no work at all, since it has rejected a start.
 	failureStreak  int
 	lastFailedJob  string
 	blockedUntil   time.Duration
+	rejectedUntil  time.Duration
 	lastQuarantine time.Duration // length of the last quarantine
 	lastSuccess    time.Duration
 	successes      int
@@ -233,10 +235,16 @@
 func (w *worker) schedulable(now Moment) bool { return !w.Draining && w.responsive(now) }
 
 // responsive reports whether the worker would carry out a start.
-func (w *worker) responsive(now Moment) bool {
-	return !w.Leaving && !w.Silent && now.Steady >= w.blockedUntil
+func (w *worker) responsive(now Moment) bool { return w.reachable(now) && !w.quarantined(now) }
+
+// reachable reports whether the worker could be sent a start, in quarantine or not.
+func (w *worker) reachable(now Moment) bool {
+	return !w.Leaving && !w.Silent && now.Steady >= w.rejectedUntil
 }
 
+// quarantined reports whether the worker is in quarantine after failures.
+func (w *worker) quarantined(now Moment) bool { return now.Steady < w.blockedUntil }
+
 // Order is an instruction that the owner must send to a worker.
 type Order struct {
 	Task TaskRef
