sched: ask the adviser about workers that only relaxed work may use

Seen in a test: on a queue with an adviser a failed task still waited for good where all workers of its kind had failed.

Cause: the adviser is asked about workers that are eligible as long as preferences hold, so relaxed work never had a ticket for the others.

Change: a group that may be relaxed asks about all workers that it may use then. Whether work may be relaxed is decided by the cheap conditions first.

--- a/internal/sched/calm_test.go
+++ b/internal/sched/calm_test.go
@@ -196,6 +196,13 @@
 	s.e.Pass(moment(s.now))
 	s.e.TakeChanged()
 	s.e.TakeWaits()
+	for _, q := range s.e.TakeQuestions() {
+		tickets := map[string]string{}
+		for _, id := range q.Workers {
+			tickets[id] = "ticket"
+		}
+		s.e.RecordAdvice(q, tickets, moment(s.now).Steady, 3*time.Second)
+	}
 	for _, o := range s.e.TakeOrders() {
 		if !o.Stop {
 			s.start(o)
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -94,7 +94,9 @@
 			e.claimRoom(g, now)
 		}
 	}
+	g.relaxed = g.relaxable // else it is never asked about the workers that only relaxed work may use
 	e.askAdviser(g, now)
+	g.relaxed = false
 }
 
 // utilization returns the largest of the fractions of a pool's accelerators, cores and memory that placed
--- a/internal/sched/relax.go
+++ b/internal/sched/relax.go
@@ -15,10 +15,11 @@
 // pool of which more than half is in use, room may be all that they wait for; there that holds only for work that has
 // failed if the workers without recent failures could not hold it even if nothing else ran.
 func (e *Engine) mayRelax(g *group, now Moment) bool {
-	if len(g.longWaiting(now)) == 0 {
+	ample := e.utilization(g.queue.Pool) <= yieldMinUtilization
+	if !ample && !g.needsHealthyWorkers() || len(g.longWaiting(now)) == 0 {
 		return false
 	}
-	return e.utilization(g.queue.Pool) <= yieldMinUtilization || g.needsHealthyWorkers() && !e.healthyWorkersHold(g, now)
+	return ample || !e.healthyWorkersHold(g, now)
 }
 
 // longWaiting returns the waiting tasks that have not run for relaxAfter, though they could. A gang waits as a whole.
@@ -62,9 +63,11 @@
 		return false
 	}
 	all := g.waiting
-	g.waiting, g.relaxed = g.longWaiting(now), true
-	e.place(g, now)
-	g.relaxed = false
+	if g.waiting = g.longWaiting(now); len(g.waiting) > 0 {
+		g.relaxed = true
+		e.place(g, now)
+		g.relaxed = false
+	}
 	g.waiting = lo.Filter(all, func(i, _ int) bool { return g.batch.Tasks[i].Phase == Waiting })
 	return len(g.waiting) == 0
 }
--- a/internal/sched/relax_test.go
+++ b/internal/sched/relax_test.go
@@ -22,6 +22,7 @@
 		busy  bool // most of the other workers is in use
 		owner bool // a new owner follows at the end of the trouble
 		fresh bool // the job is submitted at the end of the trouble, when others have failed
+		asked bool // the queue has an adviser, which allows all workers
 	}{
 		"one worker of a kind":            {kind: 1, step: kind(1)},
 		"two of a kind":                   {kind: 2, step: kind(1)},
@@ -31,6 +32,8 @@
 		"one of a kind, a new owner":      {kind: 1, step: kind(1), owner: true},
 		"a gang":                          {kind: 3, step: kind(3), alter: func(s *model.Step) { s.Gang = true }},
 		"a gang on one rack, a busy pool": {kind: 3, step: kind(3), alter: func(s *model.Step) { s.Gang, s.OneRack = true, true }, busy: true},
+		"two of a kind, an adviser":       {kind: 2, step: kind(1), asked: true},
+		"quarantine, an adviser":          {kind: 1, step: kind(1), fresh: true, asked: true},
 		"one task on each worker":         {kind: 2, step: kind(2), alter: func(s *model.Step) { s.PerWorker = 1 }},
 		"a rack of its data":              {kind: 2, step: kind(1), alter: func(s *model.Step) { s.DataRack = "r1" }},
 		"long-running":                    {kind: 2, step: kind(2), alter: func(s *model.Step) { s.Lasts = true }},
@@ -40,6 +43,12 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newCalmPool(1, 20)
+			if c.asked {
+				for i := range s.plan.Queues {
+					s.plan.Queues[i].Advice = &model.Advice{DecideMs: 50, EachMs: 1, ValidMs: 3000}
+				}
+				s.e.SetPlan(s.plan)
+			}
 			for i := range 9 {
 				s.addWorker("a", fmt.Sprintf("r%d", i%3))
 			}
