--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -4,16 +4,10 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"greengageline/pkg/model"
 )
 
-// stallTimeout returns how long a run of the step may go without progress before it counts as stalled.
-func stallTimeout(s *model.Step) time.Duration {
-	return max(minStallTimeout, time.Duration(stallFraction*float64(s.EstimateMs))*time.Millisecond)
-}
-
 // victim is a run that may be preempted. cost is the work that this loses, in core-seconds weighted by
 // priority: a run that has just started has lost nothing yet, whoever waited for it.
 type victim struct {
--- /dev/null
+++ b/internal/sched/stall.go
@@ -0,0 +1,41 @@
+package sched
+
+import (
+	"time"
+
+	"greengageline/pkg/model"
+)
+
+// completePercent is the progress of a run that has done its work. A gang member then waits for the
+// others, so its progress rightly stays the same.
+const completePercent = 100
+
+// stopStalledRuns stops the runs whose progress has not changed for longer than stallTimeout, so that
+// they restart on another worker, and counts a failure of their workers.
+func (e *Engine) stopStalledRuns(now Moment) {
+	if now.Steady-e.lastStallCheck < stallCheckInterval && e.lastStallCheck != 0 {
+		return
+	}
+	e.lastStallCheck = now.Steady
+	for _, w := range e.sortedWorkers {
+		for ref, t := range w.tasks {
+			if w.Silent {
+				t.progressAt = now.Steady // without reports, nothing tells whether the run makes progress
+				continue
+			}
+			j := e.jobs[ref.Job]
+			if j == nil || !t.Confirmed || t.Stopping || t.percent >= completePercent || j.Work.Steps[ref.Step].Lasts {
+				continue
+			}
+			if now.Steady-t.progressAt > stallTimeout(&j.Work.Steps[ref.Step]) {
+				e.orderStop(ref, t, "no progress within the stall time-out")
+				e.recordFailure(w, ref.Job, now)
+			}
+		}
+	}
+}
+
+// stallTimeout returns how long a run of the step may go without progress before it counts as stalled.
+func stallTimeout(s *model.Step) time.Duration {
+	return max(minStallTimeout, time.Duration(stallFraction*float64(s.EstimateMs))*time.Millisecond)
+}
