Evacuation of a zone: read the requests, start nothing there, and move what saves progress

The owner treats the workers of an evacuated zone as leaving. The zone is checked again directly before each start: in the owner's queue, at the fleet that reaches the workers, and so also at a carrier. Runs that save progress are stopped once capacity elsewhere is reserved for them.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -39,6 +39,12 @@
 type Change struct {
 	Plan    *model.Plan
 	Version uint64
+	// Evacuations are requests to evacuate zones and withdrawals, in the order in which they were made. If Full is set,
+	// they are all requests in force at Version.
+	Evacuations []Evacuation
+	Full        bool
+	// Behind means that there are further changes up to the store's present version.
+	Behind bool
 }
 
 // Node is one edge node. Set the exported fields, then call Run.
@@ -66,6 +72,7 @@
 	plan            atomic.Pointer[model.Plan]
 	planConfirmedAt atomic.Int64 // monotonic time in ns at which the newest plan was requested; 0 before the first plan
 	staleLogged     atomic.Bool
+	evacuations     atomic.Pointer[leader.Evacuations]
 	// storeFailing is set by a store call that was refused or had an unknown outcome, and
 	// cleared by one that was not. Reads of the plan continue meanwhile.
 	storeFailing atomic.Bool
@@ -170,6 +177,7 @@
 
 func (n *Node) followPlan(ctx context.Context) {
 	var after uint64
+	var evac evacuationView
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		sent := n.now()
@@ -189,8 +197,12 @@
 			continue
 		}
 		after, wait = max(after, change.Version), planReadWait
+		if change.Behind {
+			wait = 0
+		}
+		n.applyEvacuations(&evac, change, sent)
 		n.applyPlan(change.Plan)
-		if n.plan.Load() != nil {
+		if n.plan.Load() != nil && !change.Behind {
 			n.planConfirmedAt.Store(int64(sent))
 		}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -87,6 +87,8 @@
 	PlanStale      ID = 611
 	PlanFresh      ID = 612
 	PlanInvalid    ID = 613
+	ZoneEvacuated  ID = 614
+	EvacuationView ID = 615
 	TableUnknown   ID = 701
 	TableDown      ID = 702
 	TableBack      ID = 703
@@ -172,6 +174,8 @@
 	{PlanStale, "plan-stale", zerolog.WarnLevel, "This node can't show that its plan is the newest and refuses callers until it can."},
 	{PlanFresh, "plan-fresh", zerolog.InfoLevel, "The plan is shown to be the newest again."},
 	{PlanInvalid, "plan-invalid", zerolog.ErrorLevel, "A plan could not be read; the one before stays in force."},
+	{ZoneEvacuated, "zone-evacuated", zerolog.WarnLevel, "The operator's request that nothing starts in a zone is in force at the owner, or was withdrawn."},
+	{EvacuationView, "evacuation-view", zerolog.WarnLevel, "The owner can't show that its view of the evacuated zones is recent and starts nothing, or it can again."},
 	{TableUnknown, "table-unknown", zerolog.WarnLevel, "The outcome of a transaction could not be settled in time."},
 	{TableDown, "table-down", zerolog.WarnLevel, "Reads or writes of the table fail; the line is written once until it answers again."},
 	{TableBack, "table-back", zerolog.InfoLevel, "The table answers again."},
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -192,6 +192,9 @@
 	GangWait time.Duration
 	// MinOwnerGap is the minimum time between orders of two different owners for one VM; 0 means 3 s.
 	MinOwnerGap time.Duration
+	// Evacuation is the time from the confirmation of the evacuation of a zone until which runs may still start there; 0
+	// means that zones are not evacuated within a bound.
+	Evacuation time.Duration
 }
 
 // Candidate is one node's part in the election. Set the exported fields, then call Run.
@@ -212,6 +215,8 @@
 	Cores float64
 	// Plan returns the newest plan known to this node.
 	Plan func() model.Plan
+	// Evacuations returns the evacuated zones as this node knows them; nil means that there are none.
+	Evacuations func() Evacuations
 	// Poll polls the node at addr.
 	Poll func(ctx context.Context, addr string) (Pulse, error)
 	// Now is the steady clock; nil means clock.Boot.
--- a/internal/leader/lost.go
+++ b/internal/leader/lost.go
@@ -117,9 +117,9 @@
 }
 
 // endsUnplanned reports whether the worker, if it ends now, does so unplanned: it is neither leaving nor about to be
-// taken down.
+// taken down, and its zone is not evacuated.
 func (s *session) endsUnplanned() bool {
-	return !s.entry.Leaving && s.o.waves.closedWorkers[s.entry.ID] != goingDown
+	return !s.entry.Leaving && s.o.waves.closedWorkers[s.entry.ID] != goingDown && !s.inEvacuatedZone()
 }
 
 // loseRestartedRuns records the runs that a worker lost when it restarted under its id, by its first answer since
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -96,6 +96,7 @@
 	purging     bool          // rows of ended jobs are being removed
 	planVersion uint64        // the version of the plan in force; 0 means none yet
 	waves       waveState
+	evac        evacState
 	listed      bool          // the workers' entries have been read
 	probesLeft  int           // holds that may still be sent to silent workers in this tick
 	listOK      bool          // the workers' entries could be read last time
@@ -287,9 +288,10 @@
 // decide runs a scheduling pass if one is due, sends the stops and questions that result, and sends the
 // next transaction.
 func (o *Owner) decide() {
+	o.applyEvacuations()
 	budget := o.starts.budget(len(o.pendingStarts) + len(o.readyStarts))
 	var took time.Duration
-	if began := o.lead.now(); o.passDue && budget > 0 && o.rebuilt.Load() && began >= o.nextPassAt && !o.releasing && o.planVersion != 0 && o.mayStart() && !o.txnStuck(began) {
+	if began := o.lead.now(); o.passDue && budget > 0 && o.rebuilt.Load() && began >= o.nextPassAt && !o.releasing && o.planVersion != 0 && !o.evac.stale && o.mayStart() && !o.txnStuck(began) {
 		o.passDue = o.engine.PassWithin(o.moment(), o.passes.bound(budget))
 		now := o.lead.now()
 		o.nextPassAt = now + min(passRestFactor*(now-began), tickInterval)
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -573,5 +573,7 @@
 	closed := o.waves.closedWorkers[s.entry.ID]
 	w.Leaving = w.Leaving || !s.listed || closed == goingDown
 	w.Draining = closed == draining
+	w.EvacuateBy = o.evac.by[w.Zone]
+	w.Leaving = w.Leaving || w.EvacuateBy != 0
 	o.engine.SetWorker(w)
 }
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -12,9 +12,9 @@
 
 // sendReadyStarts sends the starts whose records are durable, in order, as far as the window over all workers
 // and the bound of each worker allow. While the last commit is older than takeoverAge, another node may have taken
-// over, and they wait for the next one.
+// over, and they wait for the next one. They also wait while the view of the evacuated zones is too old.
 func (o *Owner) sendReadyStarts() {
-	if o.commitAge() >= takeoverAge {
+	if o.commitAge() >= takeoverAge || o.lead.checkView(o.lead.evacuations()) != nil {
 		return
 	}
 	kept := o.readyStarts[:0]
@@ -40,7 +40,7 @@
 		return
 	}
 	j := o.engine.Job(order.Task.Job)
-	if s == nil || s.closed || s.silent || j == nil || !j.Open() || !o.mayStart() || o.engine.Stopping(order.Task) {
+	if s == nil || s.closed || s.silent || j == nil || !j.Open() || !o.mayStart() || o.engine.Stopping(order.Task) || o.lead.CheckStart(s.entry.Zone) != nil {
 		o.engine.End(order.Task, order.Run, sched.Refused, "", o.moment())
 		o.passDue = true
 		return
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -150,7 +150,7 @@
 func (c *Carrier) carry(ctx context.Context, o Order, payload string, seen time.Duration) Answer {
 	ctx, cancel := context.WithTimeout(ctx, milliseconds(o.TimeoutMs))
 	defer cancel()
-	e := orders.Entry{Worker: sched.Worker{ID: o.Worker}, Addr: o.Addr}
+	e := orders.Entry{Worker: sched.Worker{ID: o.Worker, Zone: o.Zone}, Addr: o.Addr}
 	w := c.contact(e)
 	a := Answer{N: o.N}
 	err := fmt.Errorf("%w: %w", orders.ErrNotSent, errTooOld)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -41,7 +41,9 @@
 	Kind   Kind   `json:"o"`
 	Worker string `json:"w"`
 	Addr   string `json:"a"`
-	Epoch  int64  `json:"e"`
+	// Zone is the worker's zone, for a start.
+	Zone  string `json:"z,omitempty"`
+	Epoch int64  `json:"e"`
 	// TimeoutMs is how long the call to the worker may take.
 	TimeoutMs int64 `json:"x"`
 	// DeadlineMs is the end of the lease on the worker's clock.
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -229,7 +229,7 @@
 	}
 	given := r.now()
 	a, err := r.ask(ctx, s, Order{
-		Kind: StartKind, Worker: e.ID, Addr: e.Addr, Epoch: in.Epoch, DeadlineMs: in.DeadlineMs, Task: newTask(in.Task), Run: in.Run,
+		Kind: StartKind, Worker: e.ID, Addr: e.Addr, Zone: e.Zone, Epoch: in.Epoch, DeadlineMs: in.DeadlineMs, Task: newTask(in.Task), Run: in.Run,
 		Checkpoint: in.Checkpoint, Ticket: in.Ticket,
 	}, in.Payload)
 	if errors.Is(err, orders.ErrNotSent) && ctx.Err() == nil && !r.isOld(given) {
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -36,6 +36,8 @@
 	// patient is set for a group that waits because preemption would lose too much for it. It claims no room: work that
 	// starts meanwhile has not yet much to lose.
 	patient bool
+	// moving is set for a group that has left an evacuated zone and has its capacity reserved.
+	moving bool
 }
 
 // lateness classifies a job by when it is expected to end, and thereby by what its result is still
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -72,6 +72,7 @@
 			e.recordUnplaced(g, now)
 		}
 	}
+	e.moveOut(now)
 	return e.startsLeft <= 0
 }
 
@@ -566,6 +567,8 @@
 // reason returns the reason for starting the group, for the log.
 func (g *group) reason() string {
 	switch {
+	case g.moving:
+		return "room that was reserved as its zone was evacuated"
 	case g.relaxed:
 		return "no preferred worker has taken it in time"
 	case g.overdue:
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -294,7 +294,10 @@
 func (e *Engine) startReservedBatch(b *Batch, now Moment) {
 	ref := e.reservations[b]
 	j := e.jobs[ref.Job]
-	g := &group{job: j, ref: ref, batch: b, step: &j.Work.Steps[ref.Step], queue: e.queue(j)}
+	g := &group{job: j, ref: ref, batch: b, step: &j.Work.Steps[ref.Step], queue: e.queue(j), moving: b.moving}
+	if e.awaitsMove(b, g.step, now) {
+		return
+	}
 	var placement []*worker
 	keepReservation, fits := now.Steady-b.reservedAt < reservationTimeout, true
 	tasksOn := map[*worker]int{}
@@ -331,6 +334,7 @@
 		return
 	}
 	delete(e.reservations, b)
+	b.moving = false
 	for i := range b.Tasks {
 		t := &b.Tasks[i]
 		if w := e.workers[t.reservedOn]; w != nil {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -114,8 +114,10 @@
 	// ready is set at readyAt, once the batch could first start.
 	ended      int
 	reservedAt time.Duration
-	readyAt    time.Duration
-	ready      bool
+	// moving is set while the reserved capacity is for runs that leave an evacuated zone, which may still be stopping.
+	moving  bool
+	readyAt time.Duration
+	ready   bool
 	// suspectsWaitFrom is since when suspects among the tasks wait; 0 if none do.
 	suspectsWaitFrom time.Duration
 	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
@@ -187,6 +189,9 @@
 	// Leaving is set for a worker that is to get no new work because it is shutting down or is about to
 	// be taken down.
 	Leaving bool
+	// EvacuateBy is set for a worker in a zone that the operator has evacuated, which is Leaving too. Until that time runs
+	// that can move elsewhere are stopped.
+	EvacuateBy time.Duration
 	// Draining is set for a worker that gets no new work so that it becomes empty. Only long-running
 	// tasks that find no other room may start there.
 	Draining bool
