--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -55,6 +55,8 @@
 	retention time.Duration
 	// network carries orders through other nodes; nil means that no node carries any.
 	network *carryNetwork
+	// evacuation is the bound of evacuations; 0 means that nodes read no requests.
+	evacuation time.Duration
 }
 
 // orderSource is an owner that ordered the upkeep of a VM, and when.
@@ -211,7 +213,7 @@
 	for id, m := range workers {
 		if !m.dead.get() && !m.unlisted.get() {
 			out = append(out, orders.Entry{
-				Worker: sched.Worker{ID: id, Pool: "p", Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving.get()},
+				Worker: sched.Worker{ID: id, Pool: "p", Zone: zoneOf(id), Rack: "r", Labels: []string{"a", "r"}, Room: m.room, Leaving: m.leaving.get()},
 				Addr:   m.addr, StartedMs: m.born, ClockMs: m.clock(),
 			})
 			if alter := m.alterEntry.get(); alter != nil {
@@ -286,6 +288,8 @@
 	done   chan struct{}
 	// leave ends what the node carries; nil means that it carries nothing.
 	leave func()
+	// follow reads the evacuations until ctx ends; nil means that the node reads none.
+	follow func(ctx context.Context)
 }
 
 // startNodes creates and starts a node for each number of cores; the nodes poll each other.
@@ -323,10 +327,13 @@
 		}
 		return asked.Pulse(l.Cores), nil
 	}
+	n := &testNode{Candidate: l, done: make(chan struct{})}
+	if sim.evacuation > 0 {
+		n.follow = sim.readEvacuations(l)
+	}
 	if sim.network != nil {
 		l.Fleet = sim.network.join(name, l.Fleet, sim.now)
 	}
-	n := &testNode{Candidate: l, done: make(chan struct{})}
 	if sim.network != nil {
 		n.leave = func() { sim.network.kill(name) }
 	}
@@ -338,6 +345,9 @@
 
 func (n *testNode) start(ctx context.Context) {
 	ctx, n.cancel = context.WithCancel(ctx)
+	if n.follow != nil {
+		go n.follow(ctx)
+	}
 	go func() {
 		defer close(n.done)
 		n.Run(ctx)
