sched, leader: tell which guarantees and gangs no longer fit after an evacuation

An operator who evacuates a zone could not see that guarantees or gangs no longer fit in the other zones. The owner now checks once a second while a zone is evacuated, logs 616 zone-shortfall once for each change and again when the condition ends, and has three gauges.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -144,6 +144,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), statsTimeout)
 		defer cancel()
 		if st, ok := o.Stats(ctx); ok {
+			g.EvacuatedZones, g.UnfitAccelerators, g.UnfitGangs = st.EvacuatedZones, st.UnfitAccelerators, st.UnfitGangs
 			g.StartWindow, g.StartsWaiting = st.StartWindow, st.StartsWaiting
 			g.OpenJobs, g.Unstarted, g.Placed, g.Quarantine, g.Silent = st.Open, st.Unstarted, st.Placed, st.Quarantined, st.Silent
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -89,6 +89,7 @@
 	PlanInvalid    ID = 613
 	ZoneEvacuated  ID = 614
 	EvacuationView ID = 615
+	ZoneShortfall  ID = 616
 	TableUnknown   ID = 701
 	TableDown      ID = 702
 	TableBack      ID = 703
@@ -176,6 +177,7 @@
 	{PlanInvalid, "plan-invalid", zerolog.ErrorLevel, "A plan could not be read; the one before stays in force."},
 	{ZoneEvacuated, "zone-evacuated", zerolog.WarnLevel, "The operator's request that nothing starts in a zone is in force at the owner, or was withdrawn."},
 	{EvacuationView, "evacuation-view", zerolog.WarnLevel, "The owner can't show that its view of the evacuated zones is recent and starts nothing, or it can again."},
+	{ZoneShortfall, "zone-shortfall", zerolog.WarnLevel, "A guarantee or gangs of a workspace no longer fit in the zones that are not evacuated, or fit again."},
 	{TableUnknown, "table-unknown", zerolog.WarnLevel, "The outcome of a transaction could not be settled in time."},
 	{TableDown, "table-down", zerolog.WarnLevel, "Reads or writes of the table fail; the line is written once until it answers again."},
 	{TableBack, "table-back", zerolog.InfoLevel, "The table answers again."},
--- a/internal/leader/evac.go
+++ b/internal/leader/evac.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"greengageline/internal/event"
 	"greengageline/internal/orders"
+	"greengageline/internal/sched"
 )
 
 // evacuationMargin is the part of Bounds.Evacuation that is left for a start after its last check: the store's feeds
@@ -86,6 +89,51 @@
 	by map[string]time.Duration
 	// stale is set while the view is too old to start anything.
 	stale bool
+	// shortfalls has what was last reported not to fit in the other zones, as computed at checkedAt.
+	shortfalls []sched.Shortfall
+	checkedAt  time.Duration
+}
+
+// shortfallInterval is how often the owner checks what no longer fits. It goes through all open gangs.
+const shortfallInterval = time.Second
+
+// reportShortfalls logs which guarantees and gangs no longer fit in the zones that are not evacuated, once for each
+// change, and when they fit again.
+func (o *Owner) reportShortfalls() {
+	now := o.lead.now()
+	if len(o.evac.by) == 0 && len(o.evac.shortfalls) == 0 || now-o.evac.checkedAt < shortfallInterval {
+		return
+	}
+	o.evac.checkedAt = now
+	before := o.evac.shortfalls
+	o.evac.shortfalls = o.engine.Shortfalls()
+	log := func(f sched.Shortfall, fits bool) {
+		o.lead.Log.Emit(event.ZoneShortfall).Str("workspace", f.Workspace).Bool("fits_again", fits).Bool("gang", f.Gang).
+			Int("accelerators", f.Accelerators).Int("fit", f.Fits).Int("gangs", f.Gangs).
+			Strs("zones", slices.Sorted(maps.Keys(o.evac.by))).Int64("epoch", o.epoch).Send()
+	}
+	for _, f := range o.evac.shortfalls {
+		if !slices.ContainsFunc(before, f.SameCondition) {
+			log(f, false)
+		}
+	}
+	for _, f := range before {
+		if !slices.ContainsFunc(o.evac.shortfalls, func(x sched.Shortfall) bool { return x.Workspace == f.Workspace && x.Gang == f.Gang }) {
+			log(f, true)
+		}
+	}
+}
+
+// shortfallStats adds what does not fit to the statistics.
+func (o *Owner) shortfallStats(st *Stats) {
+	st.EvacuatedZones = len(o.evac.by)
+	for _, f := range o.evac.shortfalls {
+		if f.Gang {
+			st.UnfitGangs += f.Gangs
+		} else {
+			st.UnfitAccelerators += f.Accelerators - f.Fits
+		}
+	}
 }
 
 // applyEvacuations puts the evacuated zones in force that this node knows.
--- a/internal/leader/evac_test.go
+++ b/internal/leader/evac_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,10 +12,14 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"greengageline/internal/clock"
+	"greengageline/internal/event"
+	"greengageline/internal/orders"
 	"greengageline/internal/rows"
 	"greengageline/internal/sched"
+	"greengageline/pkg/model"
 )
 
 const (
@@ -319,3 +324,38 @@
 	}
 	return out
 }
+
+// Guards against an operator who is told of the same shortfall at each check, or not told that it ended.
+func TestShortfallsAreLoggedOncePerChange(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	now := time.Hour
+	zones := map[string]bool{}
+	l := &Candidate{
+		Log: event.New(&out, "n", zerolog.InfoLevel), Now: func() time.Duration { return now },
+		Evacuations: func() Evacuations { return Evacuations{Zones: maps.Clone(zones), ConfirmedAt: now} },
+	}
+	o := newOwner(l, ownership{Epoch: 1}, 1, now)
+	defer o.cancel()
+	o.engine.SetPlan(model.Plan{Version: 1, Spaces: []model.PlanSpace{{Name: "ws", Guaranteed: 12}}})
+	for _, id := range []string{"w0", "w2", "w4"} {
+		s := o.session(orders.Entry{Worker: sched.Worker{ID: id, Pool: "p", Zone: zoneOf(id), Room: model.Room{Millicores: 1, Accelerators: 8}}})
+		s.listed, s.proven = true, true
+		o.updateWorker(s)
+	}
+	lines := func() int { return strings.Count(out.String(), "zone-shortfall") }
+	for _, step := range []struct {
+		set, drop string
+		lines     int
+	}{{"", "", 0}, {"za", "", 0}, {"zb", "", 1}, {"", "", 1}, {"zc", "", 2}, {"", "zb", 3}, {"", "zc", 4}, {"", "", 4}} {
+		delete(zones, step.drop)
+		if step.set != "" {
+			zones[step.set] = true
+		}
+		now += 2 * shortfallInterval
+		o.applyEvacuations()
+		o.reportShortfalls()
+		is.Equal(lines(), step.lines)
+	}
+	is.Equal(strings.Count(out.String(), `"fits_again":true`), 1)
+}
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -280,6 +280,7 @@
 	}
 	o.purge()
 	o.planUpkeep()
+	o.reportShortfalls()
 	o.chooseCarriers()
 	o.reportLoad()
 	o.passDue = true
@@ -481,12 +482,15 @@
 type Stats struct {
 	sched.Stats
 	StartWindow, StartsWaiting int
+	// EvacuatedZones counts the evacuated zones; UnfitAccelerators and UnfitGangs are what no longer fits in the others.
+	EvacuatedZones, UnfitAccelerators, UnfitGangs int
 }
 
 // Stats returns the owner's statistics; ok is false if the owner has ended or ctx ends first.
 func (o *Owner) Stats(ctx context.Context) (st Stats, ok bool) {
 	ok = o.postAndWait(ctx, func() {
-		st = Stats{o.engine.Stats(o.moment()), o.starts.size(), len(o.pendingStarts) + len(o.readyStarts)}
+		st = Stats{Stats: o.engine.Stats(o.moment()), StartWindow: o.starts.size(), StartsWaiting: len(o.pendingStarts) + len(o.readyStarts)}
+		o.shortfallStats(&st)
 	})
 	return st, ok
 }
--- a/internal/metric/work.go
+++ b/internal/metric/work.go
@@ -28,8 +28,10 @@
 	Silent     int
 	// StartWindow is how many starts may be in flight, StartsWaiting how many are decided and not sent.
 	StartWindow, StartsWaiting int
-	StoreFails                 int64
-	Dropped                    int64
+	// EvacuatedZones counts the evacuated zones; UnfitAccelerators and UnfitGangs are what no longer fits in the others.
+	EvacuatedZones, UnfitAccelerators, UnfitGangs int
+	StoreFails                                    int64
+	Dropped                                       int64
 }
 
 // Work holds the instruments of a node on the platform. A nil Work records nothing.
@@ -67,6 +69,9 @@
 	{"workers_silent", "Workers that do not answer."},
 	{"starts_window", "Starts that the owner may have in flight, by how promptly they are answered."},
 	{"starts_waiting", "Starts that are decided and not sent yet."},
+	{"zones_evacuated", "Zones that the operator has evacuated, at the owner."},
+	{"guarantees_unfit_accelerators", "Guaranteed accelerators that do not fit in the zones that are not evacuated."},
+	{"gangs_unfit", "Gangs that fit only with the evacuated zones."},
 	{"store_failures_total", "Calls of the owner to the store that failed."},
 	{"traffic_bytes_total", "Bytes that this node exchanged, by kind of message and direction."},
 	{"traffic_messages_total", "Messages that this node sent, by kind."},
@@ -146,20 +151,23 @@
 		return 0
 	}
 	for name, pick := range map[string]func(WorkGauges) float64{
-		"owner":                    func(g WorkGauges) float64 { return boolValue(g.Owner) },
-		"owner_epoch":              func(g WorkGauges) float64 { return float64(g.Epoch) },
-		"owner_commit_age_seconds": func(g WorkGauges) float64 { return g.CommitAge.Seconds() },
-		"plan_version":             func(g WorkGauges) float64 { return float64(g.Plan) },
-		"plan_age_seconds":         func(g WorkGauges) float64 { return g.PlanAge.Seconds() },
-		"jobs_open":                func(g WorkGauges) float64 { return float64(g.OpenJobs) },
-		"jobs_unstarted":           func(g WorkGauges) float64 { return float64(g.Unstarted) },
-		"runs_placed":              func(g WorkGauges) float64 { return float64(g.Placed) },
-		"workers_quarantined":      func(g WorkGauges) float64 { return float64(g.Quarantine) },
-		"workers_silent":           func(g WorkGauges) float64 { return float64(g.Silent) },
-		"starts_window":            func(g WorkGauges) float64 { return float64(g.StartWindow) },
-		"starts_waiting":           func(g WorkGauges) float64 { return float64(g.StartsWaiting) },
-		"store_failures_total":     func(g WorkGauges) float64 { return float64(g.StoreFails) },
-		"log_lines_dropped_total":  func(g WorkGauges) float64 { return float64(g.Dropped) },
+		"owner":                         func(g WorkGauges) float64 { return boolValue(g.Owner) },
+		"owner_epoch":                   func(g WorkGauges) float64 { return float64(g.Epoch) },
+		"owner_commit_age_seconds":      func(g WorkGauges) float64 { return g.CommitAge.Seconds() },
+		"plan_version":                  func(g WorkGauges) float64 { return float64(g.Plan) },
+		"plan_age_seconds":              func(g WorkGauges) float64 { return g.PlanAge.Seconds() },
+		"jobs_open":                     func(g WorkGauges) float64 { return float64(g.OpenJobs) },
+		"jobs_unstarted":                func(g WorkGauges) float64 { return float64(g.Unstarted) },
+		"runs_placed":                   func(g WorkGauges) float64 { return float64(g.Placed) },
+		"workers_quarantined":           func(g WorkGauges) float64 { return float64(g.Quarantine) },
+		"workers_silent":                func(g WorkGauges) float64 { return float64(g.Silent) },
+		"starts_window":                 func(g WorkGauges) float64 { return float64(g.StartWindow) },
+		"starts_waiting":                func(g WorkGauges) float64 { return float64(g.StartsWaiting) },
+		"zones_evacuated":               func(g WorkGauges) float64 { return float64(g.EvacuatedZones) },
+		"guarantees_unfit_accelerators": func(g WorkGauges) float64 { return float64(g.UnfitAccelerators) },
+		"gangs_unfit":                   func(g WorkGauges) float64 { return float64(g.UnfitGangs) },
+		"store_failures_total":          func(g WorkGauges) float64 { return float64(g.StoreFails) },
+		"log_lines_dropped_total":       func(g WorkGauges) float64 { return float64(g.Dropped) },
 	} {
 		_, err := m.Float64ObservableGauge(name, metric.WithDescription(description(name)),
 			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
