leader, sched: starts that arrive late in an evacuated zone are refused, and nothing waits for its racks

A start that was held up on its way could begin in the zone up to a lease after it was sent, 6 s in the simulation, and so after the bound. Its deadline now ends with the bound that counts from the owner's view; the next hold extends the lease. Without this, the case "starts arrive late at workers that are cut off" of TestNothingStartsInEvacuatedZone fails, 222 ms after the bound.

Work whose data are on a rack of an evacuated zone no longer waits for that rack.

--- a/internal/leader/evac.go
+++ b/internal/leader/evac.go
@@ -70,6 +70,18 @@
 	return nil
 }
 
+// startDeadline returns the deadline of a start whose lease would end at deadlineMs, on the worker's clock: a worker
+// refuses a start that arrives after it, so it ends with the bound of an evacuation that the view may not show yet. The
+// next hold extends the lease. Any goroutine may call it.
+func (o *Owner) startDeadline(deadlineMs int64) int64 {
+	b := &o.lead.Bounds
+	if deadlineMs == 0 || b.Evacuation <= 0 {
+		return deadlineMs
+	}
+	left := o.lead.evacuations().ConfirmedAt + b.Evacuation - o.lead.now()
+	return max(1, deadlineMs-max(0, b.MaxLease-left).Milliseconds())
+}
+
 // GuardStarts returns the fleet with a check of the worker's zone directly before each start. It wraps the fleet that
 // reaches the workers from this node, so that the check covers starts that wait on their way or at a carrier.
 func GuardStarts(f *orders.Fleet, check func(zone string) error) *orders.Fleet {
--- a/internal/leader/evac_test.go
+++ b/internal/leader/evac_test.go
@@ -204,6 +204,20 @@
 			v.submit("w", "bulk", oneGPU(30))
 			time.Sleep(200 * time.Millisecond)
 		}},
+		"starts arrive late at workers that are cut off": {before: func(v *evacuation) {
+			from := v.now()
+			for _, m := range v.workers {
+				m.delay.set(func() time.Duration {
+					if v.now()-from < 600*time.Millisecond {
+						return 5500 * time.Millisecond
+					}
+					return 0
+				})
+				m.unreachable.set(func(string) bool { d := v.now() - from; return d > 400*time.Millisecond && d < 8*time.Second })
+			}
+			v.submit("w", "bulk", oneGPU(30))
+			time.Sleep(300 * time.Millisecond)
+		}},
 		"answers of the store are lost": {before: func(v *evacuation) {
 			v.store.lose.set(func(string) bool { return v.now().Milliseconds()%3 == 0 })
 		}},
--- a/internal/leader/starts.go
+++ b/internal/leader/starts.go
@@ -50,7 +50,7 @@
 		Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 	}
 	if s.proven {
-		in.DeadlineMs = s.leaseDeadline()
+		in.DeadlineMs = o.startDeadline(s.leaseDeadline())
 	}
 	e := s.target(carriedStartAge)
 	if in.DeadlineMs == 0 {
@@ -73,7 +73,7 @@
 	if in.DeadlineMs == 0 {
 		var out orders.HoldReply
 		out, err = o.lead.Fleet.Hold(ctx, e, orders.Hold{Epoch: in.Epoch})
-		in.DeadlineMs = out.ClockMs + o.lead.Bounds.MaxLease.Milliseconds()
+		in.DeadlineMs = o.startDeadline(out.ClockMs + o.lead.Bounds.MaxLease.Milliseconds())
 		leaseFrom = o.lead.now()
 	}
 	var clockMs int64
--- a/internal/sched/evac.go
+++ b/internal/sched/evac.go
@@ -29,6 +29,7 @@
 // because its result comes too late.
 func (e *Engine) moveOut(now Moment) {
 	left := e.startsLeft
+	unplaceable := map[shape]bool{}
 	for _, m := range e.movable(now) {
 		if left <= 0 {
 			return
@@ -38,8 +39,13 @@
 			continue
 		}
 		g.yields = e.mustYield(g)
-		placement := e.placeElsewhere(g, now)
+		key := g.shape()
+		if unplaceable[key] {
+			continue
+		}
+		placement, partlyElsewhere := e.placeElsewhere(g, now)
 		if len(placement) == 0 {
+			unplaceable[key] = !partlyElsewhere
 			if g.queue.Advice != nil {
 				e.askAdviser(g, now)
 			}
@@ -127,13 +133,14 @@
 }
 
 // placeElsewhere returns workers for the first of the group's runs, as many as fit, or for all members of a gang. A
-// gang may also use the room of its own members in other zones, since these stop too.
-func (e *Engine) placeElsewhere(g *group, now Moment) []*worker {
+// gang may also use the room of its own members in other zones, since these stop too; partlyElsewhere reports whether it has
+// any.
+func (e *Engine) placeElsewhere(g *group, now Moment) (placement []*worker, partlyElsewhere bool) {
 	if !g.step.Gang {
 		if g.differ() {
 			g.waiting = g.waiting[:1]
 		}
-		return e.findForEach(g, now)
+		return e.findForEach(g, now), false
 	}
 	need := g.step.Need()
 	own := lo.FilterMap(g.waiting, func(i, _ int) (*worker, bool) {
@@ -149,9 +156,9 @@
 		}
 	}()
 	if g.step.OneRack && e.idleRackFits(g) {
-		return e.findOnBestRack(g, now) // on several racks it would be slower than where it is
+		return e.findOnBestRack(g, now), len(own) > 0 // on several racks it would be slower than where it is
 	}
-	return e.findForAll(g, now)
+	return e.findForAll(g, now), len(own) > 0
 }
 
 // stopAndReserve stops the first of the group's runs, one for each worker of placement, and reserves the capacity there.
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -451,7 +451,7 @@
 // dataRackFits reports whether some worker on the rack of the step's data is large enough for a task.
 func (e *Engine) dataRackFits(g *group) bool {
 	return slices.ContainsFunc(e.sortedWorkers, func(w *worker) bool {
-		return w.Pool == g.queue.Pool && w.Rack == g.step.DataRack && w.Room.Times(g.step.Need(), 1) > 0
+		return w.Pool == g.queue.Pool && w.Rack == g.step.DataRack && w.EvacuateBy == 0 && w.Room.Times(g.step.Need(), 1) > 0
 	})
 }
 
