guard: bytes, connections and lists of clients are bounded

Cause: the server read each body whole, up to 1 MB, before its key, queue or size was checked, and decoded lists whole before their bound was checked; compressed bodies were expanded without a bound; connections, and the unfinished messages of other nodes, were not bounded at all. limits.maxBodyBytes of the plan was not used.

internal/guard bounds the bytes that bodies hold (an eighth of limits.memoryMb, half of that at the owner), reserved as a body arrives. Unfinished messages on the nodes' port are counted by connection, windows are fixed, and CBOR lists have at most 8,192 entries. Refusals have metrics and event 132.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -186,7 +186,7 @@
 	p.app.Use(p.limitBody)
 	(&jobapi.API{Node: p.Node}).Mount(p.app)
 	(&admin.API{Node: p.Node, Stop: p.RequestStop}).Mount(p.app)
-	p.rpc = peer.NewServer(p.Node.Handlers())
+	p.rpc = peer.NewServer(nil, p.Node.Handlers())
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	go func() { p.failed <- p.app.Listener(callers) }()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -12,6 +12,7 @@
 
 	"greengageline/internal/clock"
 	"greengageline/internal/event"
+	"greengageline/internal/guard"
 	"greengageline/internal/leader"
 	"greengageline/internal/metric"
 	"greengageline/internal/peer"
@@ -54,6 +55,8 @@
 	Carrier *relay.Carrier
 	// CarryTraffic counts the bytes that streams to carriers exchange; nil disables counting.
 	CarryTraffic func(sent, received int)
+	// Peers bounds what other nodes send; nil means that nothing is bounded but each message.
+	Peers *guard.Peers
 	// Meter counts calls; nil disables counting.
 	Meter *metric.Work
 	// MaxPlanAge is how long a plan may be used after it was confirmed to be the newest.
@@ -251,7 +254,7 @@
 
 // Server returns the gRPC server that serves calls from other nodes.
 func (n *Node) Server() *grpc.Server {
-	return peer.NewServerWithStreams([]grpc.StreamDesc{peer.Stream("Carry", n.serveCarry)},
+	return peer.NewServerWithStreams(n.Peers, []grpc.StreamDesc{peer.Stream("Carry", n.serveCarry)},
 		peer.Method("Pulse", func(_ context.Context, in *pulseRequest) (*leader.Pulse, error) {
 			if in.Addr != "" {
 				n.Candidate.NotePeer(in.Addr, in.CarryCores)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -95,6 +95,17 @@
 	return reply, err
 }
 
+// CheckCaller returns the error with which Serve would refuse c for its queue or its key, so that its job need not be
+// read. It returns nil if the plan is not fresh and another node may decide.
+func (n *Node) CheckCaller(c Call) error {
+	_, err := n.authorize(c.Host, c.Path, c.Key)
+	if err == nil || errors.Is(err, ErrNotReady) && n.planConfirmedAt.Load() != 0 {
+		return nil
+	}
+	n.Meter.Call(string(c.Op), errorCode(err), 0)
+	return err
+}
+
 func (n *Node) serve(ctx context.Context, c Call) (Reply, error) {
 	g, err := n.authorize(c.Host, c.Path, c.Key)
 	if err != nil && !errors.Is(err, ErrNotReady) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -30,6 +30,7 @@
 	NodeFresh      ID = 121
 	SettingsRead   ID = 130
 	LinesDropped   ID = 131
+	ClientsRefused ID = 132
 	CellTaken      ID = 201
 	CellRebuilt    ID = 202
 	CellLost       ID = 203
@@ -115,6 +116,7 @@
 	{NodeFresh, "node-fresh", zerolog.InfoLevel, "The configuration is shown to be fresh again."},
 	{SettingsRead, "settings-read", zerolog.InfoLevel, "The settings file was read again; the line names what changed and needs a restart."},
 	{LinesDropped, "lines-dropped", zerolog.WarnLevel, "Log lines were dropped because standard output did not take them in time."},
+	{ClientsRefused, "clients-refused", zerolog.WarnLevel, "Clients outside the limits were refused or cut off; the line counts bodies over the limit, bodies without memory, senders that stalled and connections closed for newer ones."},
 	{CellTaken, "cell-taken", zerolog.InfoLevel, "This node became the owner of a cell at a new epoch."},
 	{CellRebuilt, "cell-rebuilt", zerolog.InfoLevel, "The owner has read the cell's jobs and decides from now on."},
 	{CellLost, "cell-lost", zerolog.WarnLevel, "Another node owns the cell at a newer epoch."},
--- /dev/null
+++ b/internal/guard/sizes.go
@@ -0,0 +1,75 @@
+package guard
+
+import (
+	"math"
+	"runtime/debug"
+)
+
+// Limits are what a process may use, from which all bounds for clients follow.
+type Limits struct {
+	MemoryMB, MaxFds int
+}
+
+const (
+	// defaultMemoryMB and defaultMaxFds stand for limits that are not given.
+	defaultMemoryMB = 256
+	defaultMaxFds   = 1024
+
+	// bodyPart is the part of the memory for bodies, and ownerPart what is left of that on a node that owns the work,
+	// whose own state grows with the number of jobs and workers.
+	bodyPart  = 1.0 / 8
+	ownerPart = 0.5
+	// connPart is the part of the memory for connections of callers, each of which takes connBytes: two buffers of 4 KB,
+	// a goroutine and the request's header.
+	connPart  = 1.0 / 8
+	connBytes = 24 << 10
+	// callerFds and peerFds are the parts of the descriptors for the connections of callers and of nodes. The others are
+	// for the store and the workers.
+	callerFds = 1.0 / 4
+	peerFds   = 1.0 / 8
+	// ReadinessConns bounds the connections to readiness and metrics.
+	ReadinessConns = 48
+	// heapPart is the part of the memory that the heap may take before garbage is collected more often. The others are
+	// for stacks and the program itself.
+	heapPart = 0.85
+)
+
+func (l Limits) memory() float64 {
+	if l.MemoryMB <= 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+	return float64(l.MemoryMB << 20)
+}
+
+func (l Limits) fds() float64 {
+	if l.MaxFds <= 0 {
+		return defaultMaxFds
+	}
+	return float64(l.MaxFds)
+}
+
+// Bodies returns the bytes that bodies of callers may hold together.
+func (l Limits) Bodies(owner bool) int64 {
+	if owner {
+		return int64(l.memory() * bodyPart * ownerPart)
+	}
+	return int64(l.memory() * bodyPart)
+}
+
+// CallerConns returns the most connections of callers.
+func (l Limits) CallerConns() int {
+	return int(math.Min(l.fds()*callerFds, l.memory()*connPart/connBytes))
+}
+
+// PeerConns returns the most connections of other nodes.
+func (l Limits) PeerConns() int { return int(l.fds() * peerFds) }
+
+// PeerBytes returns the bytes of unfinished messages that other nodes may have in this one.
+func (l Limits) PeerBytes() int64 { return int64(l.memory() * bodyPart) }
+
+// Apply makes the runtime collect garbage more often when the heap comes near the limit. It does nothing if no memory is given.
+func (l Limits) Apply() {
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(l.memory() * heapPart))
+	}
+}
--- a/internal/metric/work.go
+++ b/internal/metric/work.go
@@ -30,6 +30,9 @@
 	StartWindow, StartsWaiting int
 	StoreFails                 int64
 	Dropped                    int64
+	// TooLarge, NoMemory, Stalled and Crowded count the clients that were refused or cut off, HeldBytes the bytes of
+	// requests that the node holds.
+	TooLarge, NoMemory, Stalled, Crowded, HeldBytes int64
 }
 
 // Work holds the instruments of a node on the platform. A nil Work records nothing.
@@ -70,6 +73,11 @@
 	{"store_failures_total", "Calls of the owner to the store that failed."},
 	{"traffic_bytes_total", "Bytes that this node exchanged, by kind of message and direction."},
 	{"traffic_messages_total", "Messages that this node sent, by kind."},
+	{"clients_too_large_total", "Requests refused because their body is over the limit."},
+	{"clients_no_memory_total", "Requests refused because there was no memory for their body."},
+	{"clients_stalled_total", "Connections closed because an unfinished request held memory that others needed."},
+	{"clients_crowded_total", "Connections closed for newer ones because there were too many."},
+	{"request_bytes_held", "Bytes held by bodies of requests and by unfinished messages of nodes."},
 	{"log_lines_dropped_total", "Log lines dropped because the output stood still."},
 }
 
@@ -159,6 +167,11 @@
 		"starts_window":            func(g WorkGauges) float64 { return float64(g.StartWindow) },
 		"starts_waiting":           func(g WorkGauges) float64 { return float64(g.StartsWaiting) },
 		"store_failures_total":     func(g WorkGauges) float64 { return float64(g.StoreFails) },
+		"clients_too_large_total":  func(g WorkGauges) float64 { return float64(g.TooLarge) },
+		"clients_no_memory_total":  func(g WorkGauges) float64 { return float64(g.NoMemory) },
+		"clients_stalled_total":    func(g WorkGauges) float64 { return float64(g.Stalled) },
+		"clients_crowded_total":    func(g WorkGauges) float64 { return float64(g.Crowded) },
+		"request_bytes_held":       func(g WorkGauges) float64 { return float64(g.HeldBytes) },
 		"log_lines_dropped_total":  func(g WorkGauges) float64 { return float64(g.Dropped) },
 	} {
 		_, err := m.Float64ObservableGauge(name, metric.WithDescription(description(name)),
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -4,11 +4,22 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
 
 	"greengageline/pkg/model"
 )
 
-const codecName = "cbor"
+const (
+	codecName = "cbor"
+	// maxElements bounds a list in a message: the longest have the 4,096 orders that a carrier has in hand. maxFields
+	// bounds an object and maxLevels the nesting. They are checked before anything is decoded.
+	maxElements = 8192
+	maxFields   = 1024
+	maxLevels   = 16
+)
+
+// decoder decodes messages within the bounds. Its options are constant and valid.
+var decoder = lo.Must(cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxFields, MaxNestedLevels: maxLevels}.DecMode())
 
 // codec encodes gRPC messages as CBOR and validates each message after decoding.
 type codec struct{}
@@ -27,7 +38,7 @@
 
 // Unmarshal decodes data into v and calls v's Check method if it has one.
 func (codec) Unmarshal(data []byte, v any) error {
-	if err := cbor.Unmarshal(data, v); err != nil {
+	if err := decoder.Unmarshal(data, v); err != nil {
 		return fmt.Errorf("decode %T: %w", v, err)
 	}
 	if c, ok := v.(model.Checker); ok {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,22 +4,37 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
+
+	"greengageline/internal/guard"
 )
 
 const (
 	serviceName = "greengageline.Peer"
 	// maxMessageBytes is the maximum size of a message between nodes.
-	maxMessageBytes   = 1 << 20
+	maxMessageBytes = 1 << 20
+	// maxStreams bounds the requests in progress on a connection; a node has one or two connections to another, and
+	// some ten requests on them.
+	maxStreams = 256
+	// windowBytes and connWindowBytes are how much a node sends before it waits for the reader. They are fixed, since
+	// windows that grow by themselves reach 16 MB; at 20 ms between zones they allow 3 MB/s.
+	windowBytes     = 64 << 10
+	connWindowBytes = 256 << 10
+	// maxHeaderBytes bounds the headers of a request, which are some 300 bytes.
+	maxHeaderBytes = 8 << 10
+	// handshakeTimeout bounds the opening of a connection.
+	handshakeTimeout  = 5 * time.Second
 	keepaliveInterval = 10 * time.Second
 	keepaliveTimeout  = 3 * time.Second
 )
@@ -34,25 +49,27 @@
 	Call   func(ctx context.Context, in *CallRequest) (*CallReply, error)
 }
 
-// NewServer returns a gRPC server that serves requests with h.
-func NewServer(h *Handlers) *grpc.Server {
-	return NewServerWithMethods(
+// NewServer returns a gRPC server that serves requests with h. Its connections are those of g.
+func NewServer(g *guard.Peers, h *Handlers) *grpc.Server {
+	return NewServerWithStreams(g, nil,
 		Method("Beat", h.Beat), Method("Submit", h.Submit),
 		Method("Job", h.Job), Method("Call", h.Call),
 	)
 }
 
-// NewServerWithMethods returns a gRPC server with the given methods. The caller starts it.
-func NewServerWithMethods(methods ...grpc.MethodDesc) *grpc.Server {
-	return NewServerWithStreams(nil, methods...)
-}
-
-// NewServerWithStreams returns a gRPC server with the given streams and methods. The caller starts it.
-func NewServerWithStreams(streams []grpc.StreamDesc, methods ...grpc.MethodDesc) *grpc.Server {
-	s := grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+// NewServerWithStreams returns a gRPC server with the given streams and methods, which the caller starts on a listener of
+// g. A nil g bounds each message only.
+func NewServerWithStreams(g *guard.Peers, streams []grpc.StreamDesc, methods ...grpc.MethodDesc) *grpc.Server {
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.StaticStreamWindowSize(windowBytes), grpc.StaticConnWindowSize(connWindowBytes), grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
-	)
+	}
+	if g != nil {
+		names := lo.Map(streams, func(d grpc.StreamDesc, _ int) string { return "/" + serviceName + "/" + d.StreamName })
+		options = append(options, grpc.StatsHandler(g), grpc.InTapHandle(g.Tap(func(method string) bool { return slices.Contains(names, method) })))
+	}
+	s := grpc.NewServer(options...)
 	s.RegisterService(&grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil), Methods: methods, Streams: streams}, nil)
 	return s
 }
