speed, sched, leader: learn the speed of workers from progress and ends

Cause: on a deployment where a third of the workers take 1.7 times as long for the same work and nothing indicates which, the scheduler took all workers as alike.

What changed: internal/speed keeps for each worker its eight latest runs, each compared with the others of its step (and with the estimate, corrected by a running factor of the queue), and a distribution over the logarithm of the factor under a prior that is learned from the pool. Tails are part of the likelihood; contradicting samples in a row replace older ones. A pool is even until a worker surely differs or several do so; then all factors are 1. sched takes samples from the reports of runs and from ends, leaving out gangs before they are complete, gaps between reports, resumed, stopped and cold runs, and comparing runs away from their data with their like. leader looks at young gangs of short estimates where the speed of a member is open.

The table of the store is not written yet.

--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -98,6 +98,7 @@
 	waves       waveState
 	listed      bool          // the workers' entries have been read
 	probesLeft  int           // holds that may still be sent to silent workers in this tick
+	looksLeft   int           // looks at workers that may still be sent in this tick
 	listOK      bool          // the workers' entries could be read last time
 	listOKSince time.Duration // when the entries became readable again
 	rebuilt     atomic.Bool   // the stored state has been read; any goroutine may read it
@@ -271,7 +272,7 @@
 		o.planVersion = p.Version
 		o.engine.SetPlan(p)
 	}
-	o.probesLeft = maxProbesPerTick
+	o.probesLeft, o.looksLeft = maxProbesPerTick, maxLooksPerTick
 	for _, s := range o.sessions {
 		if !s.settled() {
 			s.checkLeases()
@@ -317,6 +318,7 @@
 	for _, q := range o.engine.TakeQuestions() {
 		o.askAdviser(q)
 	}
+	o.takeLooks()
 	o.collectChanged()
 	o.commit()
 }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -113,6 +113,11 @@
 	unconfirmedStarts map[sched.TaskRef]startOutcome
 	// lostRuns has the runs that were given up since the worker last answered. It may have crashed under them.
 	lostRuns map[sched.TaskRef]lostRun
+	// lookPlanned is set while a look at the worker is planned.
+	lookPlanned bool
+	// coldUntil is until when the incarnation coldOf is not at its usual speed after its start.
+	coldUntil time.Duration
+	coldOf    int64
 }
 
 // uncoveredEnd is an end that no transaction covers yet: its number, and the job whose record has to be stored.
@@ -573,5 +578,6 @@
 	closed := o.waves.closedWorkers[s.entry.ID]
 	w.Leaving = w.Leaving || !s.listed || closed == goingDown
 	w.Draining = closed == draining
+	s.addSpeedFacts(&w)
 	o.engine.SetWorker(w)
 }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -52,6 +52,8 @@
 	StartedMs int64
 	// ClockMs is the worker's own clock in ms when it wrote the entry; 0 if unknown.
 	ClockMs int64
+	// ColdLeftMs is for how long the worker was not at its usual speed yet when it wrote the entry.
+	ColdLeftMs int64
 	// Carrier is the address of the node that carries orders to the worker; if it is empty, they are sent directly.
 	// It is no part of what the platform lists.
 	Carrier string
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"greengageline/internal/speed"
 	"greengageline/pkg/model"
 )
 
@@ -12,6 +13,8 @@
 type Engine struct {
 	// Limits are the engine's settings; zero fields mean the defaults.
 	Limits Limits
+	// Speeds estimates how fast the workers are.
+	Speeds speed.Table
 
 	plan          model.Plan
 	guarantees    map[string]int // guaranteed accelerators by workspace name
@@ -64,6 +67,8 @@
 	// nextQuestionAt is the earliest time of the next question to the adviser after one has failed;
 	// questionBackoff is the last backoff.
 	nextQuestionAt, questionBackoff time.Duration
+	// looks holds the looks at workers decided on since the last call of TakeLooks.
+	looks []Look
 }
 
 // Limits are the settings of an Engine that depend on its owner and its deployment.
@@ -203,6 +208,7 @@
 		e.racks = nil
 	}
 	old.Worker = w
+	e.describeSpeed(&w)
 }
 
 // DropWorker removes a worker; the runs placed on it end as Lost.
@@ -215,6 +221,7 @@
 		e.End(ref, t.Run, Lost, "", now)
 	}
 	delete(e.workers, id)
+	e.Speeds.DropWorker(id)
 	delete(e.isolatedWorkers, w)
 	e.racks = nil
 	e.sortedWorkers = slices.DeleteFunc(e.sortedWorkers, func(x *worker) bool { return x == w })
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -22,6 +22,7 @@
 		e.changedJobs[ref.Job] = true
 	}
 	e.clearSuspect(t, now)
+	e.observeReport(ref, j, b, t, percent, now)
 	t.Confirmed, t.percent = true, percent
 	if !j.Started {
 		j.Started = true
@@ -47,6 +48,9 @@
 	workerID := t.Worker
 	confirmed, finished := t.Confirmed, t.percent >= completePercent
 	stopping := t.Stopping
+	if cause == Done {
+		e.observeEnd(ref, j, b, t, now)
+	}
 	e.removeFromWorker(ref, t, step)
 	t.endedAt = now.Steady
 	e.changedJobs[ref.Job] = true
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -91,6 +91,7 @@
 	failedOn    string        // worker of the last failed run
 	avoidWorker string        // worker that would refuse the gang's present run
 	reservedOn  string        // worker on which capacity is reserved for the task
+	pace        pace
 }
 
 // Batch is the state of one step in one occurrence of a job: all tasks of that step.
@@ -121,6 +122,9 @@
 	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
 	waitReason     WaitReason
 	waitReportedAt time.Duration
+	// members tells when the members of a gang's run began to work. speedKeys has the names of the step in Engine.Speeds.
+	members   members
+	speedKeys [2]string
 }
 
 // State is a job's state as its caller sees it.
@@ -195,6 +199,11 @@
 	// Unproven is set until the worker has answered once. There may be no worker behind its entry, so others come
 	// first, and while it is silent its room counts for nothing.
 	Unproven bool
+	// VM and Kind are what the worker's speed may depend on besides its rack, and StartedMs is when its present incarnation
+	// started, in Unix ms; they may be unknown. Cold is set while the worker is not at its usual speed after its start.
+	VM, Kind  string
+	StartedMs int64
+	Cold      bool
 }
 
 // worker is the engine's state of a worker: its description, the capacity used by placed tasks, the
--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -1,6 +1,10 @@
 package speed
 
-import "time"
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
 
 // Worker identifies a worker and what it has in common with others. VM is empty if it is not known.
 type Worker struct {
@@ -13,10 +17,14 @@
 // occurrence of a job, so that its runs can be compared with each other. Ended is set if the run ended as done.
 type Sample struct {
 	Worker, Step, Queue string
-	Estimate, Ran       time.Duration
-	Percent             int
-	Ended               bool
-	At                  time.Duration
+	// Task is the index of the task in the step. A later sample of the same task on the same worker replaces the
+	// earlier one, since both tell of the same run.
+	Task int
+	// Estimate is 0 if the run can't be compared with its estimate.
+	Estimate, Ran time.Duration
+	Percent       int
+	Ended         bool
+	At            time.Duration
 }
 
 // Estimate says how many times as long a task takes on a worker as on the typical worker of its pool. Low and High
@@ -26,29 +34,214 @@
 	Samples           int
 }
 
+// Class is the speed class of a worker.
+type Class uint8
+
+// The speed classes. Unknown workers have had no sample.
+const (
+	Unknown Class = iota
+	Fast
+	Typical
+	Slow
+)
+
+// String returns the name of the class as logs and metrics use it.
+func (c Class) String() string { return [...]string{"unknown", "fast", "typical", "slow"}[c] }
+
+// Change is a change of a worker's class.
+type Change struct {
+	Worker   string
+	From, To Class
+	Estimate Estimate
+}
+
+const (
+	// maxKept bounds the records of workers that were dropped or have not been added yet.
+	maxKept = 40_000
+	// maxChanges bounds the changes that wait for TakeChanges.
+	maxChanges = 1000
+)
+
 // Table holds the estimates of all workers. The zero value is ready for use.
-type Table struct{}
+type Table struct {
+	workers map[string]*worker
+	pools   map[string]*pool
+	queues  map[string]*queue
+	steps   stepCache
+	// kept has the records of workers that are not in the table, by their key.
+	kept    map[uint64]record
+	keptAt  []uint64 // the keys in kept, oldest first; some may be gone
+	shards  shards
+	changes []Change
+	now     time.Duration // the latest time of a sample
+	others  []other       // reused by compare
+}
+
+// init makes the maps of a zero value.
+func (t *Table) init() {
+	if t.workers != nil {
+		return
+	}
+	t.workers, t.pools, t.queues = map[string]*worker{}, map[string]*pool{}, map[string]*queue{}
+	t.kept = map[uint64]record{}
+}
+
+// keyOf returns the key under which the state of a worker is kept: its VM if that is known, else its id.
+func keyOf(d Worker) uint64 {
+	h := fnv.New64a()
+	if d.VM != "" {
+		_, _ = h.Write([]byte("vm/" + d.VM))
+	} else {
+		_, _ = h.Write([]byte("id/" + d.ID))
+	}
+	return h.Sum64()
+}
 
 // SetWorker adds a worker or replaces its description.
-func (t *Table) SetWorker(_ Worker) {}
+func (t *Table) SetWorker(d Worker) {
+	t.init()
+	w := t.workers[d.ID]
+	if w != nil && w.Worker == d {
+		return
+	}
+	if w != nil && d.StartedMs == 0 {
+		d.StartedMs = w.StartedMs
+	}
+	p := t.pool(d.Pool)
+	switch {
+	case w == nil:
+		w = &worker{Worker: d, key: keyOf(d)}
+		t.workers[d.ID] = w
+		t.join(w, p)
+		t.recall(w)
+	case w.Pool != d.Pool || keyOf(d) != w.key:
+		t.leave(w)
+		w.Worker, w.key = d, keyOf(d)
+		t.join(w, p)
+		t.recall(w)
+	default:
+		reborn := d.StartedMs != w.StartedMs && w.StartedMs != 0
+		t.leave(w)
+		w.Worker = d
+		t.join(w, p)
+		if reborn {
+			w.weaken(t.now)
+		}
+	}
+	t.refresh(w)
+}
 
 // DropWorker removes a worker. What is known of it remains as a prior for its next incarnation.
-func (t *Table) DropWorker(_ string) {}
+func (t *Table) DropWorker(id string) {
+	w := t.workers[id]
+	if w == nil {
+		return
+	}
+	if w.samples > 0 {
+		t.keep(w.key, w.record(t.now))
+		t.shards.touch(w.key)
+	}
+	t.leave(w)
+	delete(t.workers, id)
+}
 
-// Observe adds a sample.
-func (t *Table) Observe(_ Sample) {}
+// recall applies to a new worker what is kept under its key.
+func (t *Table) recall(w *worker) {
+	r, ok := t.kept[w.key]
+	t.shards.assign(w.key)
+	if !ok {
+		return
+	}
+	delete(t.kept, w.key)
+	w.restore(r, t.now)
+}
+
+// keep keeps the record of a worker that is not in the table.
+func (t *Table) keep(key uint64, r record) {
+	if _, ok := t.kept[key]; !ok {
+		t.keptAt = append(t.keptAt, key)
+	}
+	t.kept[key] = r
+	for len(t.kept) > maxKept || len(t.keptAt) > 2*maxKept {
+		oldest := t.keptAt[0]
+		t.keptAt = t.keptAt[1:]
+		if _, ok := t.kept[oldest]; ok {
+			delete(t.kept, oldest)
+			t.shards.remove(oldest)
+		}
+	}
+}
 
-// Factor returns the estimate for a worker.
-func (t *Table) Factor(_ string) Estimate { return Estimate{Factor: 1, Low: 1, High: 1} }
+// Factor returns the estimate for a worker. It is 1 where the difference is within the noise, and for all workers of an
+// even pool.
+func (t *Table) Factor(id string) Estimate {
+	w := t.workers[id]
+	if w == nil {
+		return Estimate{Factor: 1, Low: 1, High: 1}
+	}
+	return w.estimate()
+}
 
 // Even reports whether no worker of the pool is known to differ from the others.
-func (t *Table) Even(_ string) bool { return true }
+func (t *Table) Even(name string) bool {
+	p := t.pools[name]
+	return p == nil || !p.uneven
+}
+
+// Pace returns how many times as long as its estimate a task of the queue takes on a typical worker; 1 if that is not
+// known.
+func (t *Table) Pace(name string) float64 {
+	q := t.queues[name]
+	if q == nil || q.n < minPaceSteps {
+		return 1
+	}
+	return math.Exp(q.bias)
+}
+
+const (
+	// minPaceSteps is the number of steps after which a queue's pace is known.
+	minPaceSteps = 10
+	// maxWanted is the number of samples after which a worker needs no more looks.
+	maxWanted = 4
+	// wantedWorkers is how many workers of an even pool are to have two samples before no more looks are needed there.
+	// If a tenth of the pool differs, 40 workers have four such workers.
+	wantedWorkers = 40
+	// settledMass is the posterior probability of a speed within openWidth of the mean from which a worker's speed is settled.
+	settledMass = 0.9
+)
 
 // Wants reports whether a sample of a run on the worker would improve its estimate.
-func (t *Table) Wants(_ string) bool { return false }
+func (t *Table) Wants(id string) bool {
+	w := t.workers[id]
+	if w == nil || w.pool == nil {
+		return false
+	}
+	if !w.pool.uneven {
+		return w.evidence < minEvidence && w.pool.sampled < wantedWorkers
+	}
+	return w.evidence < 0.5 || w.evidence < maxWanted && w.settled < settledMass
+}
+
+// Classes returns the number of workers by class.
+func (t *Table) Classes() map[Class]int {
+	out := map[Class]int{Unknown: 0, Fast: 0, Typical: 0, Slow: 0}
+	for _, w := range t.workers {
+		out[w.classNow()]++
+	}
+	return out
+}
 
-// TakeChanged returns the encoded state of the shards that have changed since the last call.
-func (t *Table) TakeChanged() map[int][]byte { return nil }
+// Class returns the speed class of a worker.
+func (t *Table) Class(id string) Class {
+	if w := t.workers[id]; w != nil {
+		return w.classNow()
+	}
+	return Unknown
+}
 
-// Restore applies the stored state of a shard.
-func (t *Table) Restore(_ int, _ []byte) error { return nil }
+// TakeChanges returns the changes of class since the last call, at most 1,000.
+func (t *Table) TakeChanges() []Change {
+	out := t.changes
+	t.changes = nil
+	return out
+}
