speed, leader: keep the speeds of workers in the store, and test the estimate

Cause: a new owner took all workers as alike until it had learned their speeds anew, and a change of one worker's speed was found late.

The likelihood tells tails of seven times from other samples far from the speed.

--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -92,6 +92,7 @@
 			t.txn.Delete, o.pendingDeletes = o.pendingDeletes[:n:n], o.pendingDeletes[n:]
 		}
 	}
+	o.addSpeeds(t)
 	return t
 }
 
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -96,6 +96,7 @@
 	purging     bool          // rows of ended jobs are being removed
 	planVersion uint64        // the version of the plan in force; 0 means none yet
 	waves       waveState
+	speeds      speedState
 	listed      bool          // the workers' entries have been read
 	probesLeft  int           // holds that may still be sent to silent workers in this tick
 	looksLeft   int           // looks at workers that may still be sent in this tick
@@ -221,6 +222,7 @@
 // start reads the stored state and then begins to schedule; the loop renews the ownership row meanwhile.
 func (o *Owner) start() {
 	o.spawn(o.loop)
+	o.spawn(o.readSpeeds)
 	o.spawn(func() {
 		stored, ok := o.readStored()
 		if !ok || !o.postAndWait(o.ctx, func() { o.rebuild(stored) }) {
--- a/internal/sched/speeds.go
+++ b/internal/sched/speeds.go
@@ -28,6 +28,8 @@
 	// minCompared is the number of workers of a gang that are looked at, if there are so many, so that those whose speed
 	// is open are compared with others.
 	minCompared = 3
+	// maxEvenLooks bounds the looks at a gang while no worker of the pool is known to differ.
+	maxEvenLooks = 6
 )
 
 // pace is what the samples of a task's present run start from: its first report, or the first after a gap.
@@ -159,27 +161,31 @@
 		return
 	}
 	b.members.complete, b.members.at = true, now.Steady
-	rack := ""
+	rack, pool := "", ""
 	for i := range b.Tasks {
 		if w := e.workers[b.Tasks[i].Worker]; w != nil {
 			b.members.spread = b.members.spread || rack != "" && w.Rack != rack
-			rack = w.Rack
+			rack, pool = w.Rack, w.Pool
 		}
 	}
 	estimate := time.Duration(step.EstimateMs) * time.Millisecond
 	if estimate <= 0 || estimate > maxLookEstimate {
 		return
 	}
-	e.lookAtGang(b, min(lookDelay, time.Duration(lookPart*float64(estimate))))
+	e.lookAtGang(b, pool, min(lookDelay, time.Duration(lookPart*float64(estimate))))
 }
 
 // lookAtGang requests looks at the workers of a gang whose speed is open, and at others to compare them with.
-func (e *Engine) lookAtGang(b *Batch, after time.Duration) {
+func (e *Engine) lookAtGang(b *Batch, pool string, after time.Duration) {
 	first := len(e.looks)
+	most := map[bool]int{true: len(b.Tasks), false: minCompared}
+	if e.Speeds.Even(pool) {
+		most[true] = maxEvenLooks
+	}
 	add := func(open bool) {
 		for i := range b.Tasks {
 			id := b.Tasks[i].Worker
-			if e.Speeds.Wants(id) != open || !open && len(e.looks)-first >= minCompared {
+			if e.Speeds.Wants(id) != open || len(e.looks)-first >= most[open] {
 				continue
 			}
 			known := false
--- a/internal/speed/grid.go
+++ b/internal/speed/grid.go
@@ -7,11 +7,12 @@
 	bins     = 32
 	binWidth = 0.1
 	zeroBin  = 12 // the grid reaches from 0.30 to 6.7 times the typical time
-	// slowTail and fastTail are how likely a sample far above or below the speed is, relative to one at the speed:
-	// 3 % of the tasks take seven times as long, and hardly any is much faster than its like. slowTail is above that
-	// share, so that such tasks alone never make a pool look uneven.
-	slowTail = 0.06
-	fastTail = 0.01
+	// slowTail is how likely a sample above the speed by tailFrom or more is, relative to one at the speed, and otherTail the
+	// same of any other sample far from the speed: 3 % of the tasks take seven times as long, and hardly any is far from its
+	// like otherwise. slowTail is above that share, so that such tasks alone never make a pool look uneven.
+	slowTail  = 0.06
+	otherTail = 0.015
+	tailFrom  = 1.2
 	// lossStep is the resolution of the tables of log-likelihoods in standard deviations, lossSize their length.
 	lossStep = 16
 	lossSize = 6 * lossStep
@@ -20,8 +21,9 @@
 // grid is a weight for each speed of the grid.
 type grid [bins]float32
 
-// slowLoss and fastLoss are the log-likelihoods of a sample above and below the speed, by its distance.
-var slowLoss, fastLoss = lossTable(slowTail), lossTable(fastTail)
+// slowLoss and otherLoss are the log-likelihoods of a sample that is above the speed by tailFrom or more, and of any other,
+// by its distance from the speed.
+var slowLoss, otherLoss = lossTable(slowTail), lossTable(otherTail)
 
 func lossTable(tail float64) (out [lossSize + 1]float32) {
 	for i := range out {
@@ -39,11 +41,11 @@
 func (g *grid) addSample(z, sd, weight float32) {
 	scale := lossStep / sd
 	for i := range g {
-		r := (z - float32(i-zeroBin)*binWidth) * scale
-		if r >= 0 {
-			g[i] += weight * slowLoss[int(min(r+0.5, lossSize))]
+		d := z - float32(i-zeroBin)*binWidth
+		if d >= tailFrom {
+			g[i] += weight * slowLoss[int(min(d*scale, lossSize))]
 		} else {
-			g[i] += weight * fastLoss[int(min(0.5-r, lossSize))]
+			g[i] += weight * otherLoss[int(min(max(d, -d)*scale, lossSize))]
 		}
 	}
 }
--- a/internal/speed/pool.go
+++ b/internal/speed/pool.go
@@ -13,6 +13,8 @@
 	// differsMass and surelyMass are the probabilities from which a worker counts as different, and counts so on its own.
 	differsMass = 0.98
 	surelyMass  = 0.9995
+	// staysMass is the probability down to which a worker goes on to count as it did.
+	staysMass = 0.9
 	// minEvidence is the weight of the samples from which a worker can count as different: two samples, one of them
 	// partly forgotten.
 	minEvidence = 1.5
@@ -41,6 +43,7 @@
 	kinds      groups
 	racks      groups
 	refreshes  int
+	fresh      int // samples
 	nextWorker int
 	cached     grid // the prior
 	cachedOK   bool
@@ -126,6 +129,7 @@
 func (t *Table) refresh(w *worker) {
 	p := w.pool
 	p.uncount(w)
+	w.cachedOK = false
 	prior := priorOf(&p.sum, p.n, &basePrior, priorWeight)
 	prior = w.kind.prior(prior, &p.kinds)
 	prior = w.rack.prior(prior, &p.racks)
@@ -154,22 +158,16 @@
 		p.sampled++
 	}
 	was, even := w.classNow(), !p.uneven
-	switch {
-	case w.differs >= surelyMass && w.evidence >= minEvidence:
-		p.tally(w, surelyTallied)
-	case w.differs >= differsMass && w.evidence >= minEvidence:
-		p.tally(w, differsTallied)
-	default:
-		p.tally(w, notTallied)
-	}
+	p.tally(w, w.tally())
 	p.judge()
-	if p.refreshes++; p.refreshes%groupInterval == 0 {
+	if p.refreshes++; p.refreshes%max(groupInterval, len(p.racks.byName)) == 0 {
 		p.kinds.test(p)
 		p.racks.test(p)
 	}
 	p.recenter()
 	w.class = w.classify(w.class)
 	t.noteClass(w, was, even)
+	t.noteStored(w)
 }
 
 // noteClass records a change of a worker's class. While all workers are alike there is none.
@@ -181,6 +179,21 @@
 	t.changes = append(t.changes, Change{Worker: w.ID, From: was, To: is, Estimate: w.estimate()})
 }
 
+// tally returns how the worker counts in the decision whether its pool is even.
+func (w *worker) tally() tally {
+	switch {
+	case w.evidence < minEvidence:
+		return notTallied
+	case w.differs >= surelyMass:
+		return surelyTallied
+	case w.differs >= differsMass:
+		return max(w.tallied, differsTallied)
+	case w.differs >= staysMass:
+		return w.tallied
+	}
+	return notTallied
+}
+
 // tally records how the worker counts in the decision whether the pool is even.
 func (p *pool) tally(w *worker, to tally) {
 	p.addTally(w.tallied, -1)
--- a/internal/speed/step.go
+++ b/internal/speed/step.go
@@ -19,6 +19,12 @@
 	maxLog = 20
 	// clip is how many standard deviations from the median a run counts in full in the mean of the others.
 	clip = 1.5
+	// sweepFactor is by how much a step must have grown before its members are compared anew.
+	sweepFactor = 3
+	// enoughOthers is the number of others from which more of them hardly make a comparison more precise.
+	enoughOthers = 4
+	// refreshInterval is the number of samples after which one more worker is brought up to date.
+	refreshInterval = 4
 	// maxSd bounds the standard deviation of a comparison.
 	maxSd = 2
 )
@@ -29,6 +35,8 @@
 	w    *worker
 	task int32
 	y, v float32
+	// compared is the number of others that it has been compared with.
+	compared int
 }
 
 // step is a step of one occurrence of a job.
@@ -105,24 +113,25 @@
 		st.est = math.Log(s.Estimate.Seconds())
 	}
 	m := memberOf(w, s)
-	st.put(m)
+	at := st.put(m)
 	if created {
 		st.queue.learn(w, m, st.est)
 	}
-	fresh := t.compare(st, &m, s.At)
-	if n := len(st.members); n >= 2*st.swept && n > 1 {
+	fresh := t.compare(st, at, s.At)
+	if n := len(st.members); n >= sweepFactor*st.swept && n > 1 {
 		st.swept = n
 		t.compareOthers(st, m, s.At)
 	}
-	if fresh {
+	if w.pool.fresh++; fresh && w.pool.fresh%refreshInterval == 0 {
 		t.refreshNext(w.pool)
 	}
 }
 
-// compareOthers compares the other members of a step anew, since there are more to compare them with now.
+// compareOthers compares the other members of a step anew, since there are more to compare them with now. Those whose
+// speed is known gain nothing by more than enoughOthers.
 func (t *Table) compareOthers(s *step, m member, at time.Duration) {
 	for i := range s.members {
-		if o := &s.members[i]; o.w.pool != nil && (o.w != m.w || o.task != m.task) {
+		if o := &s.members[i]; o.w.pool != nil && (!o.w.known() || o.compared < enoughOthers) && (o.w != m.w || o.task != m.task) {
 			t.compare(s, o, at)
 		}
 	}
@@ -149,20 +158,22 @@
 	return member{w: w, task: int32(s.Task), y: float32(min(max(y, -maxLog), maxLog)), v: float32(sd*sd + lag*lag)} //nolint:gosec // only a name
 }
 
-// put adds a member or replaces that of the same run.
-func (s *step) put(m member) {
+// put adds a member or replaces that of the same run, and returns it.
+func (s *step) put(m member) *member {
 	for i := range s.members {
 		if s.members[i].w == m.w && s.members[i].task == m.task {
 			s.members[i] = m
-			return
+			return &s.members[i]
 		}
 	}
 	if len(s.members) < maxMembers {
 		s.members = append(s.members, m)
-		return
+		return &s.members[len(s.members)-1]
 	}
-	s.members[s.next] = m
+	at := &s.members[s.next]
+	*at = m
 	s.next = (s.next + 1) % maxMembers
+	return at
 }
 
 // learn corrects the bias and the spread of the queue by the first run of a step. The median of the spread is tracked,
@@ -206,6 +217,7 @@
 	if !math.IsNaN(s.est) {
 		list = append(list, other{s.est + s.queue.bias, s.queue.spread * s.queue.spread})
 	}
+	m.compared = len(list)
 	t.others = list
 	if len(list) == 0 {
 		return false
@@ -229,7 +241,6 @@
 		}
 	}
 	t.refresh(w)
-	t.shards.touch(w.key)
 	return fresh
 }
 
--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -56,8 +56,10 @@
 }
 
 const (
-	// maxKept bounds the records of workers that were dropped or have not been added yet.
+	// maxKept bounds the records of workers that were dropped or have not been added yet. Those that were dropped are as
+	// many as the workers at most, or minKept.
 	maxKept = 40_000
+	minKept = 1000
 	// maxChanges bounds the changes that wait for TakeChanges.
 	maxChanges = 1000
 )
@@ -69,14 +71,19 @@
 	queues  map[string]*queue
 	steps   stepCache
 	// kept has the records of workers that are not in the table, by their key.
-	kept    map[uint64]record
-	keptAt  []uint64 // the keys in kept, oldest first; some may be gone
-	shards  shards
-	changes []Change
-	now     time.Duration // the latest time of a sample
-	others  []other       // reused by compare
+	kept map[uint64]record
+	// keptAt has the keys in kept, oldest first, each with the order of its record; some records may be gone.
+	keptAt   []keptKey
+	lastKept uint64
+	shards   shards
+	changes  []Change
+	now      time.Duration // the latest time of a sample
+	others   []other       // reused by compare
 }
 
+// keptKey is the key of a kept record and the order in which it was kept.
+type keptKey struct{ key, order uint64 }
+
 // init makes the maps of a zero value.
 func (t *Table) init() {
 	if t.workers != nil {
@@ -138,8 +145,10 @@
 		return
 	}
 	if w.samples > 0 {
-		t.keep(w.key, w.record(t.now))
-		t.shards.touch(w.key)
+		t.keep(w.key, w.record(t.now), min(maxKept, max(minKept, len(t.workers))))
+		t.shards.touch(w.key, false, t.now)
+	} else {
+		t.shards.remove(w.key)
 	}
 	t.leave(w)
 	delete(t.workers, id)
@@ -156,18 +165,18 @@
 	w.restore(r, t.now)
 }
 
-// keep keeps the record of a worker that is not in the table.
-func (t *Table) keep(key uint64, r record) {
-	if _, ok := t.kept[key]; !ok {
-		t.keptAt = append(t.keptAt, key)
-	}
+// keep keeps the record of a worker that is not in the table, and the latest most records in all.
+func (t *Table) keep(key uint64, r record, most int) {
+	t.lastKept++
+	r.order = t.lastKept
+	t.keptAt = append(t.keptAt, keptKey{key, r.order})
 	t.kept[key] = r
-	for len(t.kept) > maxKept || len(t.keptAt) > 2*maxKept {
+	for len(t.keptAt) > 0 && (len(t.kept) > most || len(t.keptAt) > 2*maxKept) {
 		oldest := t.keptAt[0]
 		t.keptAt = t.keptAt[1:]
-		if _, ok := t.kept[oldest]; ok {
-			delete(t.kept, oldest)
-			t.shards.remove(oldest)
+		if t.kept[oldest.key].order == oldest.order {
+			delete(t.kept, oldest.key)
+			t.shards.remove(oldest.key)
 		}
 	}
 }
@@ -204,8 +213,8 @@
 	// maxWanted is the number of samples after which a worker needs no more looks.
 	maxWanted = 4
 	// wantedWorkers is how many workers of an even pool are to have two samples before no more looks are needed there.
-	// If a tenth of the pool differs, 40 workers have four such workers.
-	wantedWorkers = 40
+	// If a tenth of the pool differs, 25 workers have two or three such workers.
+	wantedWorkers = 25
 	// settledMass is the posterior probability of a speed within openWidth of the mean from which a worker's speed is settled.
 	settledMass = 0.9
 )
--- a/internal/speed/worker.go
+++ b/internal/speed/worker.go
@@ -56,6 +56,14 @@
 	differs            float64 // probability of a speed that differs from the typical one
 	class              Class
 	tallied            tally
+	// storedMean, storedWeight and storedClass are what counts as stored.
+	storedMean   float64
+	storedWeight float32
+	storedClass  Class
+	// cached is the estimate at the center cachedAt of the pool, if cachedOK is set.
+	cached   Estimate
+	cachedAt float64
+	cachedOK bool
 }
 
 // tally is how a worker counts in the decision whether its pool is even.
@@ -67,6 +75,9 @@
 	surelyTallied
 )
 
+// known reports whether the worker's speed is known well.
+func (w *worker) known() bool { return w.used > ringSize/2 && w.settled >= settledMass }
+
 // find returns the index of the entry of a run, or -1.
 func (w *worker) find(step uint32, task int32) int {
 	for i := range w.used {
@@ -183,14 +194,15 @@
 	if w.pool == nil || !w.pool.uneven {
 		return e
 	}
+	if w.cachedOK && w.cachedAt == w.pool.center {
+		return w.cached
+	}
 	x, sd := w.mean-w.pool.center, math.Sqrt(w.variance)
 	if math.Abs(x) < differs/2 {
 		x = 0
 	}
-	if w.used == 0 && w.kind == nil && w.rack == nil {
-		x = 0
-	}
 	e.Factor, e.Low, e.High = math.Exp(x), math.Exp(x-sd), math.Exp(x+sd)
+	w.cached, w.cachedAt, w.cachedOK = e, w.pool.center, true
 	return e
 }
 
