sched: test the samples of speeds, and workers of different speed under load

Cause: the engine's simulated loads had workers that were all alike, and the members of a spread gang reported progress as if they were on one rack.

What changed: a load may give each worker a speed; looks at workers are carried out; the members of a gang that is spread take longer by the spread factor, also in their reports.

--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -57,6 +57,8 @@
 	failAdvice int
 	// startRate is how many starts a second the owner can send; 0 means any number.
 	startRate float64
+	// speedOf returns how many times as long tasks take on the i-th worker; nil means that all are alike.
+	speedOf func(i int) float64
 }
 
 // burst multiplies the arrival rate of a kind by factor.
@@ -118,6 +120,8 @@
 	used         map[string]model.Room
 	room         map[string]model.Room
 	racks        map[string]string
+	speeds       map[string]float64 // by worker, if they differ
+	looks        int
 	jobs         map[string]*Job
 	kindOf       map[string]int
 	done         map[TaskRef]bool
@@ -146,7 +150,7 @@
 func newSim(l load, seed uint64) *sim {
 	s := &sim{
 		load: l, seed: seed, runs: map[TaskRef]*simRun{}, used: map[string]model.Room{},
-		room: map[string]model.Room{}, racks: map[string]string{}, jobs: map[string]*Job{}, kindOf: map[string]int{},
+		room: map[string]model.Room{}, racks: map[string]string{}, speeds: map[string]float64{}, jobs: map[string]*Job{}, kindOf: map[string]int{},
 		done: map[TaskRef]bool{}, failureCount: map[TaskRef]int{}, earnedByKind: make([]float64, len(l.kinds)),
 		offeredByKind: make([]float64, len(l.kinds)), submitted: make([]int, len(l.kinds)), lostByKind: make([]float64, len(l.kinds)), firstWait: map[string]time.Duration{},
 		tickets: map[string]time.Duration{},
@@ -167,6 +171,9 @@
 		id := fmt.Sprintf("w%03d", i)
 		rack := fmt.Sprintf("r%d", i/l.rackSize)
 		s.room[id], s.racks[id] = l.room, rack
+		if l.speedOf != nil {
+			s.speeds[id] = l.speedOf(i)
+		}
 		s.e.SetWorker(Worker{ID: id, Pool: "p", Rack: rack, Labels: []string{"a", rack}, Room: l.room})
 	}
 	return s
@@ -315,6 +322,7 @@
 	for run, n := range gangs {
 		s.checkGang(run, n)
 	}
+	s.takeLooks()
 }
 
 // advise answers a question once the questions before it have been answered.
@@ -418,6 +426,9 @@
 	k := s.kinds[s.kindOf[o.Task.Job]]
 	draw := s.draw(o.Task)
 	ms := k.meanMs * (0.8 + 0.4*draw.Float64())
+	if f := s.speeds[o.Worker]; f > 0 {
+		ms *= f
+	}
 	if s.isFaulty(o.Worker, s.slow) {
 		ms *= s.slowBy
 	}
@@ -452,7 +463,7 @@
 	if r.ref.Task != 0 || r.ended {
 		return
 	}
-	ms, racks := 0.0, map[string]bool{}
+	ms, racks, members := 0.0, map[string]bool{}, []*simRun{}
 	for i := range step.Tasks {
 		m := s.runs[TaskRef{r.ref.Job, r.ref.Occurrence, r.ref.Step, i}]
 		if m == nil || m.run != r.run {
@@ -460,9 +471,13 @@
 		}
 		ms = max(ms, m.ms)
 		racks[s.racks[m.worker]] = true
+		members = append(members, m)
 	}
 	if step.OneRack && len(racks) > 1 {
 		ms *= s.spreadFactor
+		for _, m := range members {
+			m.ms *= s.spreadFactor
+		}
 	}
 	if math.IsInf(ms, 1) {
 		return
