--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -97,8 +97,10 @@
 	planVersion uint64        // the version of the plan in force; 0 means none yet
 	waves       waveState
 	evac        evacState
+	speeds      speedState
 	listed      bool          // the workers' entries have been read
 	probesLeft  int           // holds that may still be sent to silent workers in this tick
+	looksLeft   int           // looks at workers that may still be sent in this tick
 	listOK      bool          // the workers' entries could be read last time
 	listOKSince time.Duration // when the entries became readable again
 	rebuilt     atomic.Bool   // the stored state has been read; any goroutine may read it
@@ -221,6 +223,7 @@
 // start reads the stored state and then begins to schedule; the loop renews the ownership row meanwhile.
 func (o *Owner) start() {
 	o.spawn(o.loop)
+	o.spawn(o.readSpeeds)
 	o.spawn(func() {
 		stored, ok := o.readStored()
 		if !ok || !o.postAndWait(o.ctx, func() { o.rebuild(stored) }) {
@@ -272,7 +275,7 @@
 		o.planVersion = p.Version
 		o.engine.SetPlan(p)
 	}
-	o.probesLeft = maxProbesPerTick
+	o.probesLeft, o.looksLeft = maxProbesPerTick, maxLooksPerTick
 	for _, s := range o.sessions {
 		if !s.settled() {
 			s.checkLeases()
@@ -320,6 +323,7 @@
 	for _, q := range o.engine.TakeQuestions() {
 		o.askAdviser(q)
 	}
+	o.takeLooks()
 	o.collectChanged()
 	o.commit()
 }
