sched: place work by the speed of workers

Cause: a third of the workers of a deployment take more than twice as long as the others, and one slow member makes a gang late. Placement took all workers as alike.

Changed: where the workers of a pool are known to differ (speed.Table.Even is false), each group gets the largest factor with which it meets its goal, with a margin that is learned for each queue from the ends of its steps (1.3 before any has ended). Workers are used in the order: those that fit, slowest first; unknown ones; those that fit without the margin; those that are too slow, fastest first. Unknown workers come first for work that tolerates one of twice the time. A gang gets workers of one speed class if one holds it; a step that wants one rack gets the rack on whose chosen members it is in time, then the one on which least fast capacity waits for slow members, then the fullest; several racks are taken if the result is sooner. Urgent work preempts where it is in time, and starts on slow workers if it can't; guaranteed work preempts anywhere after that. Nothing waits for a fast worker.

--- a/internal/sched/assign.go
+++ b/internal/sched/assign.go
@@ -11,13 +11,14 @@
 	n       int
 	freeSum float64
 	doubt   int // as returned by doubt
+	order   int // as returned by speedOrder
 	at      int // its position among the workers considered
 }
 
 // compareCandidates orders candidates as they are filled: workers that have answered and have no recent failures come
-// first, and of those the fullest.
+// first, then those whose speed suits the group, and of those the fullest.
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.doubt, b.doubt), cmp.Compare(a.freeSum, b.freeSum), cmp.Compare(a.at, b.at))
+	return cmp.Or(cmp.Compare(a.doubt, b.doubt), cmp.Compare(a.order, b.order), cmp.Compare(a.freeSum, b.freeSum), cmp.Compare(a.at, b.at))
 }
 
 // doubt returns how doubtful it is that the worker carries out a run of the group: 0 for one that has answered and has no
@@ -78,6 +79,7 @@
 func (e *Engine) assignUpTo(g *group, now Moment, racks ...*rack) []*worker {
 	need, healthyOnly := g.step.Need(), g.needsHealthyWorkers()
 	s := shortlist{list: e.candidatesBuffer[:0], limit: max(1, len(g.waiting))}
+	all := e.gangBuffer[:0]
 	at, fits := 0, 0
 	for _, r := range racks {
 		for _, w := range r.workers {
@@ -87,11 +89,21 @@
 				continue
 			}
 			if n := free.Times(need, g.quota(w)); n > 0 {
-				s.add(candidate{w, n, freeFractions(free, w.Room), g.doubt(w, now), at})
+				c := candidate{w, n, freeFractions(free, w.Room), g.doubt(w, now), g.speedOrder(w), at}
 				fits += n
+				if g.fit.uneven && g.step.Gang {
+					all = append(all, c)
+				} else {
+					s.add(c)
+				}
 			}
 		}
 	}
+	g.preferOneClass(all)
+	for _, c := range all {
+		s.add(c)
+	}
+	e.gangBuffer = all[:0]
 	chosen := s.sorted()
 	e.candidatesBuffer = s.list[:0]
 	out := make([]*worker, 0, min(fits, len(g.waiting)))
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"greengageline/internal/speed"
 	"greengageline/pkg/model"
 )
 
@@ -12,6 +13,8 @@
 type Engine struct {
 	// Limits are the engine's settings; zero fields mean the defaults.
 	Limits Limits
+	// Speeds holds the estimates of how fast the workers are.
+	Speeds speed.Table
 
 	plan          model.Plan
 	guarantees    map[string]int // guaranteed accelerators by workspace name
@@ -39,7 +42,9 @@
 	isolatedWorkers map[*worker]bool
 	// candidatesBuffer is reused by assignUpTo.
 	candidatesBuffer []candidate
-	guaranteedJobs   map[*Job]bool // urgent jobs within their guarantees, as of the last pass
+	// gangBuffer is reused by assignUpTo for gangs in pools of uneven speed.
+	gangBuffer     []candidate
+	guaranteedJobs map[*Job]bool // urgent jobs within their guarantees, as of the last pass
 	// urgentAccelerators is the number of accelerators that each workspace's guaranteed jobs need, as
 	// of the last pass.
 	urgentAccelerators map[string]int
@@ -64,6 +69,15 @@
 	// nextQuestionAt is the earliest time of the next question to the adviser after one has failed;
 	// questionBackoff is the last backoff.
 	nextQuestionAt, questionBackoff time.Duration
+	// speedOf replaces Speeds in tests, if it is set.
+	speedOf func(worker string) speed.Estimate
+	// speedsAt is when the speeds of the workers were last read. uneven has the pools whose workers differ in speed, and
+	// fastest the factor of the fastest worker of each of them.
+	speedsAt time.Duration
+	uneven   map[string]bool
+	fastest  map[string]float64
+	// estimateErrors has the errors of the estimates of steps, by queue.
+	estimateErrors map[string]estimateError
 }
 
 // Limits are the settings of an Engine that depend on its owner and its deployment.
@@ -153,6 +167,7 @@
 		e.changedJobs = map[string]bool{}
 		e.reservations = map[*Batch]TaskRef{}
 		e.utilizations = map[string]float64{}
+		e.uneven, e.fastest, e.estimateErrors = map[string]bool{}, map[string]float64{}, map[string]estimateError{}
 		e.claims, e.poolClaims = map[shape]bool{}, map[string]int{}
 		e.lastRun = e.Limits.FirstRun
 	}
@@ -203,6 +218,9 @@
 		e.racks = nil
 	}
 	old.Worker = w
+	if e.uneven[w.Pool] {
+		old.speed = newWorkerSpeed(e.estimateOf(w.ID))
+	}
 }
 
 // DropWorker removes a worker; the runs placed on it end as Lost.
@@ -281,6 +299,7 @@
 					b.ended++
 				case Placed:
 					t.placedAt, t.progressAt = now.Steady, now.Steady
+					b.unmeasured = true
 					e.restorePlacement(TaskRef{j.Work.ID, k, s, i}, t, &j.Work.Steps[s])
 					if !j.Open() {
 						e.orderStop(TaskRef{j.Work.ID, k, s, i}, t, "its job has ended")
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -36,6 +36,8 @@
 	// patient is set for a group that waits because preemption would lose too much for it. It claims no room: work that
 	// starts meanwhile has not yet much to lose.
 	patient bool
+	// fit is what the group requires of the speed of its workers.
+	fit fit
 }
 
 // lateness classifies a job by when it is expected to end, and thereby by what its result is still
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -146,7 +146,14 @@
 		"few starts, urgent burst": baseLoad().with(func(l *load) {
 			l.startRate, l.bursts = 30, []burst{urgent}
 		}),
-		"roster":       rosterLoad(),
+		"roster": rosterLoad(),
+		"uneven": unevenLoad().with(func(l *load) {
+			l.speeds, l.known, l.bursts = randomSpeeds(1.0/3, 1.7, 0.7), true, []burst{urgent}
+		}),
+		"uneven, advised": unevenLoad().with(func(l *load) {
+			l.speeds, l.known = randomSpeeds(0.5, 1.7, 0.7), true
+			requireAdviser(l, 0.5, 3000)
+		}),
 		"visits":       manyCoresLoad(),
 		"visits burst": manyCoresLoad().with(func(l *load) { l.bursts = []burst{urgent} }),
 	}
@@ -251,11 +258,17 @@
 }
 
 // BenchmarkPass reports the cost of a pass under largeLoad with bursts.
-func BenchmarkPass(b *testing.B) {
+func BenchmarkPass(b *testing.B) { benchmarkPass(b, largeLoad()) }
+
+// BenchmarkPassUneven reports the cost of a pass if a third of the workers are slow.
+func BenchmarkPassUneven(b *testing.B) {
+	benchmarkPass(b, largeLoad().with(func(l *load) { l.speeds, l.known = randomSpeeds(1.0/3, 1.7, 0.7), true }))
+}
+
+func benchmarkPass(b *testing.B, l load) {
+	l.bursts = []burst{{kind: 1, to: 10 * time.Second, factor: 2.3}, {kind: 2, to: 10 * time.Second, factor: 2}}
 	for range b.N {
-		s := newSim(largeLoad().with(func(l *load) {
-			l.bursts = []burst{{kind: 1, to: 10 * time.Second, factor: 2.3}, {kind: 2, to: 10 * time.Second, factor: 2}}
-		}), 1)
+		s := newSim(l, 1)
 		s.run(20*time.Second, 40*time.Second)
 		b.ReportMetric(float64(s.passTime.Microseconds())/float64(s.passes), "us/pass")
 		b.ReportMetric(float64(s.passes), "passes")
--- a/internal/sched/overdue.go
+++ b/internal/sched/overdue.go
@@ -69,6 +69,7 @@
 // placeOverdue starts the tasks in free room, and reports whether there was enough.
 func (e *Engine) placeOverdue(o overdue, now Moment) bool {
 	due := o.waiting
+	e.setFit(o.group, now)
 	if placement := e.findForAll(o.group, now); placement != nil {
 		e.start(o.group, placement, now)
 	} else if !o.step.Lasts || o.step.Gang || !e.placeOnDraining(o.group, now) {
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -24,6 +24,7 @@
 	e.stopIncompleteGangs(now)
 	e.startReserved(now)
 	e.refreshRacks(now)
+	e.refreshSpeeds(now)
 	e.clearClaims()
 	clear(e.utilizations)
 	e.openUnneeded(now)
@@ -210,25 +211,28 @@
 // place starts the group, or as many of its tasks as fit if it is not a gang. It reports whether all
 // tasks were placed or capacity was reserved for them.
 func (e *Engine) place(g *group, now Moment) bool {
+	e.setFit(g, now)
 	if g.step.Gang && g.batch.incomplete {
 		return e.placeMissingMembers(g, now)
 	}
 	if g.step.Gang || g.step.OneRack {
 		if placement := e.findForAll(g, now); placement != nil {
-			e.start(g, placement, now)
+			if !e.preemptForSpeed(g, placement, now) {
+				e.start(g, placement, now)
+			}
 			return true
 		}
 		if g.step.Gang {
-			return !g.relaxed && e.preempt(g, now)
+			return !g.relaxed && e.preemptBySpeed(g, now)
 		}
 		if !g.maySpread(e, now) {
 			return false
 		}
 	}
-	if e.placeEach(g, now) || g.step.Lasts && e.placeOnDraining(g, now) {
+	if e.placeEachBySpeed(g, now) || g.step.Lasts && e.placeOnDraining(g, now) {
 		return true
 	}
-	return !g.relaxed && e.preempt(g, now)
+	return !g.relaxed && e.preemptBySpeed(g, now)
 }
 
 // placeOnDraining places waiting long-running tasks on workers that are being drained, and reports whether
@@ -336,7 +340,7 @@
 	if e.waitsForDataRack(g, now) {
 		return nil
 	}
-	return e.assignUpTo(g, now, e.racksWithRoom(g, false)...)
+	return e.away(g, func() []*worker { return e.assignUpTo(g, now, e.racksWithRoom(g, false)...) })
 }
 
 // findNearData finds workers on the rack of the step's data, or on any rack once the group has waited
@@ -384,7 +388,7 @@
 	if fits < len(g.waiting) {
 		return nil
 	}
-	return e.assign(g, now, racks...)
+	return e.away(g, func() []*worker { return e.assign(g, now, racks...) })
 }
 
 // findForAll finds workers for all waiting tasks at once. A step that asks for one rack gets one if
@@ -395,7 +399,7 @@
 		return e.findNearData(g, now)
 	}
 	if placement := e.findOnBestRack(g, now); placement != nil {
-		return placement
+		return e.findFaster(g, placement, now)
 	}
 	if !g.maySpread(e, now) && e.idleRackFits(g) {
 		return nil
@@ -406,6 +410,9 @@
 // findOnBestRack finds workers for all waiting tasks on the rack that has least free capacity relative
 // to its size. The rack of the step's data is preferred.
 func (e *Engine) findOnBestRack(g *group, now Moment) []*worker {
+	if g.fit.uneven {
+		return e.findOnRackBySpeed(g, now)
+	}
 	var best []*worker
 	least := 0.0
 	for _, r := range e.racksWithRoom(g, true) {
@@ -477,7 +484,7 @@
 
 // mayUse reports whether the worker is eligible and, if the queue has an adviser, has a valid ticket.
 func (g *group) mayUse(w *worker, healthyOnly bool, now Moment) bool {
-	return g.eligible(w, healthyOnly, now) && (g.queue.Advice == nil || g.batch.advice.valid(w.ID, now))
+	return g.eligible(w, healthyOnly, now) && g.fit.meets(w.speed, g.step.Gang) && (g.queue.Advice == nil || g.batch.advice.valid(w.ID, now))
 }
 
 // eligible reports whether the worker may run the group's tasks as far as the engine knows, whatever
@@ -552,6 +559,7 @@
 		if g.step.Gang {
 			checkpoint = g.batch.Checkpoint
 		}
+		g.batch.unmeasured = g.batch.unmeasured || checkpoint != ""
 		e.orders = append(e.orders, Order{
 			Task: ref, Run: t.Run, Worker: t.Worker, Checkpoint: checkpoint, Ticket: g.batch.advice.ticket(t.Worker), Reason: g.reason(),
 			Queue: g.queue.Name, Priority: g.queue.Priority, PlacedAt: now.Steady,
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -65,6 +65,7 @@
 		e.updateHealth(workerID, ref.Job, cause, now)
 	}
 	if cause == Done && !step.Lasts {
+		defer e.observeEnd(b, t, step, j.Work.Queue.Name, now)
 		e.completeTask(ref, j, b, t, now)
 		return true
 	}
--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -27,6 +27,7 @@
 	meanSteps     float64
 	failures      float64 // fraction of runs that fail on a healthy worker
 	worth         float64
+	misjudged     float64 // the work of a job differs from its estimate by up to this fraction
 	lateWorth     float64 // fraction of the worth that a late job earns
 }
 
@@ -57,6 +58,12 @@
 	failAdvice int
 	// startRate is how many starts a second the owner can send; 0 means any number.
 	startRate float64
+	// speeds returns how many times as long a task takes on the worker of an index; nil means 1. The engine is told if
+	// known is set.
+	speeds func(i int) float64
+	known  bool
+	// tail is the fraction of tasks that take seven times as long as the others of their step.
+	tail float64
 }
 
 // burst multiplies the arrival rate of a kind by factor.
@@ -135,12 +142,15 @@
 	firstWait       map[string]time.Duration
 	// tickets maps each ticket to the time until which it is valid. adviserAt is when the adviser has
 	// answered all questions so far; questions counts them.
+	factors   map[string]float64 // how many times as long a task takes, by worker
 	tickets   map[string]time.Duration
 	adviserAt time.Duration
 	questions int
 	// startsLeft is how many starts the owner can send now, as of startsAt.
 	startsLeft float64
 	startsAt   time.Duration
+	// onOrder is called for each order, if it is set.
+	onOrder func(Order)
 }
 
 func newSim(l load, seed uint64) *sim {
@@ -149,7 +159,7 @@
 		room: map[string]model.Room{}, racks: map[string]string{}, jobs: map[string]*Job{}, kindOf: map[string]int{},
 		done: map[TaskRef]bool{}, failureCount: map[TaskRef]int{}, earnedByKind: make([]float64, len(l.kinds)),
 		offeredByKind: make([]float64, len(l.kinds)), submitted: make([]int, len(l.kinds)), lostByKind: make([]float64, len(l.kinds)), firstWait: map[string]time.Duration{},
-		tickets: map[string]time.Duration{},
+		tickets: map[string]time.Duration{}, factors: map[string]float64{},
 	}
 	for i := range l.kinds {
 		l.kinds[i].queue.Advice = l.advice
@@ -166,9 +176,15 @@
 	for i := range l.workers {
 		id := fmt.Sprintf("w%03d", i)
 		rack := fmt.Sprintf("r%d", i/l.rackSize)
-		s.room[id], s.racks[id] = l.room, rack
+		s.room[id], s.racks[id], s.factors[id] = l.room, rack, 1
+		if l.speeds != nil {
+			s.factors[id] = l.speeds(i)
+		}
 		s.e.SetWorker(Worker{ID: id, Pool: "p", Rack: rack, Labels: []string{"a", rack}, Room: l.room})
 	}
+	if l.known {
+		s.e.speedOf = s.estimate
+	}
 	return s
 }
 
@@ -304,6 +320,9 @@
 	}
 	gangs := map[int64]int{}
 	for _, o := range s.e.TakeOrders() {
+		if s.onOrder != nil {
+			s.onOrder(o)
+		}
 		if o.Stop {
 			s.stopRun(o)
 			continue
@@ -417,7 +436,7 @@
 	}
 	k := s.kinds[s.kindOf[o.Task.Job]]
 	draw := s.draw(o.Task)
-	ms := k.meanMs * (0.8 + 0.4*draw.Float64())
+	ms := k.meanMs * (0.8 + 0.4*draw.Float64()) * s.factors[o.Worker] * s.misjudged(o.Task)
 	if s.isFaulty(o.Worker, s.slow) {
 		ms *= s.slowBy
 	}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -121,6 +121,10 @@
 	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
 	waitReason     WaitReason
 	waitReportedAt time.Duration
+	// slowestRun is the longest time that a run of the batch took, as a multiple of what the estimate and the speed of its
+	// worker let expect. unmeasured is set if it does not hold for all of the batch's work.
+	slowestRun float64
+	unmeasured bool
 }
 
 // State is a job's state as its caller sees it.
@@ -222,6 +226,8 @@
 	// isolated runs there.
 	keptFor      string
 	isolatedRuns int
+	// speed is as of the last refreshSpeeds; it is used where the workers of the pool differ.
+	speed workerSpeed
 }
 
 // free returns the capacity that is neither used nor reserved. It is negative where a reservation waits
