sched: estimates, headroom and stall time-outs by speed, and moves of late runs

Cause: ends of steps were expected by the estimate alone. A slow worker's run looked in time and was kept, room kept for guarantees could lie on workers too slow for urgent work, and preemption lost more than it gained to reach fast workers.

Changed, all of it only where the workers of a pool are known to differ: - The error of the estimates of a queue is the usual and the safe (80 %) quantile of its last 64 steps. Lateness and the time left follow it and the fastest worker, and for steps that run, the workers that they run on. - Headroom is kept on the workers on which urgent work is in time if it starts at once, and not below a utilization of 0.55 of the pool. - Preemption to start on a faster worker may lose as much as other work without a guarantee, also for guaranteed work, and has to be in time after the stop. If that fails, guaranteed work preempts as before. - The stall time-out is longer on slow workers, by up to three times. - Runs that will be late where they are, by their reports or else their estimates, are stopped and start again on free workers on which they are in time (moves.go): every 0.5 s, up to 16 tasks, gangs whole, never twice unless the new worker turns slower too, never long-running work, and only if at most 0.25 (urgent: 0.5) of the step's work is thrown away. Room is reserved for them as for preemption. - The adviser is asked about workers that suit the group first. - Stalled runs of a worker are stopped in order of their references instead of that of a map.

--- a/internal/sched/advise.go
+++ b/internal/sched/advise.go
@@ -126,7 +126,8 @@
 }
 
 // candidatesToAsk returns the eligible workers that have not been denied: those on the rack of the
-// step's data first, then those on the racks with most free capacity.
+// step's data first, then those on the racks with most free capacity. Where the workers differ in speed, those that suit
+// the group come first.
 func (e *Engine) candidatesToAsk(g *group, now Moment) []*worker {
 	racks := lo.Filter(e.racks, func(r *rack, _ int) bool { return r.pool == g.queue.Pool })
 	room := func(r *rack) int { return r.free.Times(g.step.Need(), len(g.waiting)) }
@@ -137,11 +138,17 @@
 		)
 	})
 	healthyOnly := g.needsHealthyWorkers()
-	return lo.FlatMap(racks, func(r *rack, _ int) []*worker {
+	ws := lo.FlatMap(racks, func(r *rack, _ int) []*worker {
 		return lo.Filter(r.workers, func(w *worker, _ int) bool {
 			return g.eligible(w, healthyOnly, now) && !g.batch.advice.denied(w.ID)
 		})
 	})
+	if g.fit.uneven {
+		slices.SortStableFunc(ws, func(a, b *worker) int {
+			return cmp.Compare(g.fit.tier(a.speed, g.step.Gang), g.fit.tier(b.speed, g.step.Gang))
+		})
+	}
+	return ws
 }
 
 // compareBools orders false before true.
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -48,10 +48,10 @@
 	// urgentAccelerators is the number of accelerators that each workspace's guaranteed jobs need, as
 	// of the last pass.
 	urgentAccelerators map[string]int
-	// utilizations has the utilization of pools, and claims the shapes of the groups that have claimed workers,
+	// poolUses has how much of the pools is used, and claims the shapes of the groups that have claimed workers,
 	// both as of the present pass.
-	utilizations map[string]float64
-	claims       map[shape]bool
+	poolUses map[string]poolUse
+	claims   map[shape]bool
 	// poolClaims has the rank of the first group for which all workers of a pool are claimed, by pool, in the present pass.
 	poolClaims map[string]int
 	// lastUrgentAt is when a pass last saw an urgent job that had not ended.
@@ -71,13 +71,19 @@
 	nextQuestionAt, questionBackoff time.Duration
 	// speedOf replaces Speeds in tests, if it is set.
 	speedOf func(worker string) speed.Estimate
+	// paceOf returns the pace of a queue, as typicalPace does; nil means that none is known.
+	paceOf func(queue string) float64
 	// speedsAt is when the speeds of the workers were last read. uneven has the pools whose workers differ in speed, and
 	// fastest the factor of the fastest worker of each of them.
 	speedsAt time.Duration
-	uneven   map[string]bool
-	fastest  map[string]float64
+	// movedAt is when a pass last looked for runs to move.
+	movedAt time.Duration
+	uneven  map[string]bool
+	fastest map[string]float64
+	// urgentLimits has the largest factor with which urgent work is in time, by uneven pool.
+	urgentLimits map[string]float64
 	// estimateErrors has the errors of the estimates of steps, by queue.
-	estimateErrors map[string]estimateError
+	estimateErrors map[string]*estimateErrors
 }
 
 // Limits are the settings of an Engine that depend on its owner and its deployment.
@@ -106,6 +112,8 @@
 	// stallFraction of a step's estimate is the stall time-out if that is longer than minStallTimeout:
 	// on a healthy worker each percent of progress takes a hundredth of the run.
 	stallFraction = 0.12
+	// maxSlowness bounds by how much longer runs on slow workers may go without progress.
+	maxSlowness = 3
 	// quarantineThreshold is the number of failures in a row, each of another job, after which a worker
 	// is quarantined. A single failure may be the fault of the job.
 	quarantineThreshold = 2
@@ -166,8 +174,9 @@
 		e.jobs = map[string]*Job{}
 		e.changedJobs = map[string]bool{}
 		e.reservations = map[*Batch]TaskRef{}
-		e.utilizations = map[string]float64{}
-		e.uneven, e.fastest, e.estimateErrors = map[string]bool{}, map[string]float64{}, map[string]estimateError{}
+		e.poolUses = map[string]poolUse{}
+		e.uneven, e.fastest, e.urgentLimits = map[string]bool{}, map[string]float64{}, map[string]float64{}
+		e.estimateErrors = map[string]*estimateErrors{}
 		e.claims, e.poolClaims = map[shape]bool{}, map[string]int{}
 		e.lastRun = e.Limits.FirstRun
 	}
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -62,11 +63,14 @@
 	// limit is the largest factor with which the group meets its goal, and safeLimit the same with a margin for the
 	// error of its estimates.
 	limit, safeLimit float64
+	// stopCost is by how much limit falls while other runs are stopped for the group.
+	stopCost float64
 	// slowed is how many times as long the group takes on the workers that are considered because they are on several
 	// racks or away from its data.
 	slowed float64
-	// only restricts the group to workers that are not too slow.
-	only bool
+	// only restricts the group to workers that are not too slow. forSpeed is set while it could start at once on others, so
+	// that preemption may lose no more than for work without a guarantee.
+	only, forSpeed bool
 }
 
 // tier returns how well a worker suits the group.
@@ -119,10 +123,11 @@
 		return
 	}
 	e.speedsAt = max(1, now.Steady)
-	clear(e.uneven)
+	seen := map[string]bool{}
 	for _, w := range e.sortedWorkers {
-		if _, seen := e.uneven[w.Pool]; !seen {
-			e.uneven[w.Pool] = e.differs(w.Pool)
+		if !seen[w.Pool] {
+			seen[w.Pool] = true
+			e.setUneven(w.Pool, e.differs(w.Pool))
 		}
 	}
 	clear(e.fastest)
@@ -135,6 +140,17 @@
 			e.fastest[w.Pool] = w.speed.factor
 		}
 	}
+	e.setUrgentLimits()
+}
+
+// setUneven notes whether the workers of a pool differ. What the ends of steps have told of estimates before does not
+// hold for the new factors.
+func (e *Engine) setUneven(pool string, uneven bool) {
+	if uneven == e.uneven[pool] {
+		return
+	}
+	e.uneven[pool] = uneven
+	maps.DeleteFunc(e.estimateErrors, func(queue string, _ *estimateErrors) bool { return e.queues[queue].Pool == pool })
 }
 
 // estimateOf returns the estimate of a worker's speed.
@@ -171,12 +187,13 @@
 		return
 	}
 	passed := float64(now.UnixMs - g.job.Work.DueMs(g.ref.Occurrence))
-	remaining := max(1, float64(g.job.remainingMs(g.ref.Occurrence)))
-	usual, safe := e.estimateErrors[g.queue.Name].usual(), e.estimateErrors[g.queue.Name].safe()
+	remaining := max(1, float64(g.job.remainingMs(g.ref.Occurrence, nil)))
+	errs := e.errorsOf(g.queue.Name)
 	for _, times := range [...]float64{1, lateFactor} {
 		left := (times*goal - passed) / remaining
-		if left/usual >= e.fastest[g.queue.Pool] {
-			g.fit.limit, g.fit.safeLimit = left/usual, left/safe
+		if left/errs.usual >= e.fastest[g.queue.Pool] {
+			g.fit.limit, g.fit.safeLimit = left/errs.usual, left/errs.safe
+			g.fit.stopCost = 1000 * restartCost / remaining / errs.usual
 			return
 		}
 	}
@@ -332,6 +349,8 @@
 	if !g.fit.uneven || g.queue.Priority != 0 || g.relaxed || math.IsInf(g.fit.limit, 1) || e.outcome(g, placement, 0).tier != tooSlow {
 		return false
 	}
+	g.fit.forSpeed = true
+	defer func() { g.fit.forSpeed = false }()
 	return e.preemptWhereInTime(g, now)
 }
 
@@ -340,16 +359,21 @@
 	if !g.fit.uneven {
 		return e.preempt(g, now)
 	}
-	return e.preemptWhereInTime(g, now) || g.guaranteed && e.preempt(g, now)
+	g.fit.forSpeed = g.guaranteed
+	ok := e.preemptWhereInTime(g, now)
+	g.fit.forSpeed = false
+	return ok || g.guaranteed && e.preempt(g, now)
 }
 
 // preemptWhereInTime preempts runs on workers that are not too slow for the group.
 func (e *Engine) preemptWhereInTime(g *group, now Moment) bool {
+	old := g.fit
+	defer func() { g.fit = old }()
 	g.fit.only = true
+	g.fit.limit -= g.fit.stopCost
 	if g.step.OneRack && (g.maySpread(e, now) || !e.idleRackFits(g)) {
 		g.fit.slowed = e.spreadFactor()
 	}
-	defer func() { g.fit.only, g.fit.slowed = false, 1 }()
 	return e.preempt(g, now)
 }
 
@@ -359,8 +383,8 @@
 	if !g.fit.uneven || g.queue.Priority != 0 || math.IsInf(g.fit.limit, 1) {
 		return e.placeEach(g, now)
 	}
-	g.fit.only = true
+	g.fit.only, g.fit.forSpeed = true, true
 	done := e.placeEach(g, now) || !g.relaxed && e.preempt(g, now)
-	g.fit.only = false
+	g.fit.only, g.fit.forSpeed = false, false
 	return done || e.placeEach(g, now)
 }
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -36,6 +36,8 @@
 	// patient is set for a group that waits because preemption would lose too much for it. It claims no room: work that
 	// starts meanwhile has not yet much to lose.
 	patient bool
+	// moved is set for runs that were stopped to start in time on faster workers.
+	moved bool
 	// fit is what the group requires of the speed of its workers.
 	fit fit
 }
@@ -117,7 +119,7 @@
 			job: j, ref: TaskRef{Job: j.Work.ID, Occurrence: k, Step: s}, batch: b, step: step, queue: q,
 			waiting: waiting, guaranteed: guaranteed,
 		}
-		g.lateness, g.timeLeft = j.lateness(k, q, now)
+		g.lateness, g.timeLeft = e.lateness(j, k, q, now)
 		out = append(out, e.splitSuspects(g, now)...)
 	}
 	return out
@@ -154,7 +156,7 @@
 
 // lateness returns the job's lateness for occurrence k and the time until its response-time goal, as a
 // multiple of the time that its steps still take.
-func (j *Job) lateness(k int, q model.Queue, now Moment) (lateness, float64) {
+func (j *Job) lateness(k int, q model.Queue, now Moment, remainingMs int64) (lateness, float64) {
 	if j.longRunning() {
 		return inTime, 1 // it has no end to wait for
 	}
@@ -163,7 +165,7 @@
 		return inTime, 0
 	}
 	passed := float64(now.UnixMs - j.Work.DueMs(k))
-	remaining := max(1, float64(j.remainingMs(k)))
+	remaining := max(1, float64(remainingMs))
 	left := (goal - passed) / remaining
 	switch end := passed + remaining; {
 	case end <= goal:
@@ -175,8 +177,8 @@
 }
 
 // remainingMs estimates the time until occurrence k ends, in ms: the longest chain of steps that have
-// not ended.
-func (j *Job) remainingMs(k int) int64 {
+// not ended. A step takes as long as stepMs returns, or its estimate if stepMs is nil.
+func (j *Job) remainingMs(k int, stepMs func(*Batch, *model.Step) int64) int64 {
 	ends := make([]int64, len(j.Work.Steps))
 	var longest int64
 	for i := range j.Work.Steps {
@@ -184,7 +186,9 @@
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		if b := &j.Batches[k][i]; b.ended < len(b.Tasks) {
+		if b := &j.Batches[k][i]; b.ended < len(b.Tasks) && stepMs != nil {
+			ends[i] += stepMs(b, s)
+		} else if b.ended < len(b.Tasks) {
 			ends[i] += s.EstimateMs
 		}
 		longest = max(longest, ends[i])
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -149,6 +149,7 @@
 		"roster": rosterLoad(),
 		"uneven": unevenLoad().with(func(l *load) {
 			l.speeds, l.known, l.bursts = randomSpeeds(1.0/3, 1.7, 0.7), true, []burst{urgent}
+			l.knownFrom, l.failing, l.faultFrom, l.faultFor = 5*time.Second, []int{3, 9, 17, 30}, 5*time.Second, 7*time.Second
 		}),
 		"uneven, advised": unevenLoad().with(func(l *load) {
 			l.speeds, l.known = randomSpeeds(0.5, 1.7, 0.7), true
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -26,7 +26,7 @@
 	e.refreshRacks(now)
 	e.refreshSpeeds(now)
 	e.clearClaims()
-	clear(e.utilizations)
+	clear(e.poolUses)
 	e.openUnneeded(now)
 	unplaceable := map[shape]bool{}
 	e.startsLeft = budget
@@ -73,6 +73,7 @@
 			e.recordUnplaced(g, now)
 		}
 	}
+	e.moveRuns(now)
 	return e.startsLeft <= 0
 }
 
@@ -101,21 +102,8 @@
 }
 
 // utilization returns the largest of the fractions of a pool's accelerators, cores and memory that placed
-// tasks use. Within a pass it is summed again only after a start.
-func (e *Engine) utilization(pool string) float64 {
-	if u, ok := e.utilizations[pool]; ok {
-		return u
-	}
-	var used, total model.Room
-	for _, w := range e.sortedWorkers {
-		if w.Pool == pool && w.exists() {
-			used, total = used.Plus(w.used, 1), total.Plus(w.Room, 1)
-		}
-	}
-	u := max(fraction(used.Accelerators, total.Accelerators), fraction(used.Millicores, total.Millicores), fraction(used.MemoryMB, total.MemoryMB))
-	e.utilizations[pool] = u
-	return u
-}
+// tasks use.
+func (e *Engine) utilization(pool string) float64 { return e.use(pool).all }
 
 // headroom returns the fraction of a pool's accelerators that non-urgent work must leave free: the
 // guarantees of all workspaces, less what their urgent jobs within them need, whether running or waiting,
@@ -149,7 +137,7 @@
 // as it must run however full the pool is. Work whose time until its goal is running out (headroomTimeLeft)
 // is exempt too, otherwise it would start too late to be of use.
 func (e *Engine) heldBackForGuarantees(g *group, now Moment) bool {
-	return g.queue.Priority > 0 && !g.step.Lasts && g.timeLeft > headroomTimeLeft && e.utilization(g.queue.Pool) > 1-e.headroom(g.queue.Pool, now)
+	return g.queue.Priority > 0 && !g.step.Lasts && g.timeLeft > headroomTimeLeft && e.headroomUsed(g.queue.Pool, now)
 }
 
 // fraction returns n divided by total, or 0 if total is not positive.
@@ -537,7 +525,7 @@
 		g.batch.run, g.batch.startedAt = run, now.Steady
 	}
 	g.batch.incomplete, g.batch.waitReason = false, ""
-	delete(e.utilizations, g.queue.Pool)
+	delete(e.poolUses, g.queue.Pool)
 	e.startsLeft -= len(g.waiting)
 	for pos, i := range g.waiting {
 		if pos > 0 && !g.step.Gang {
@@ -574,6 +562,8 @@
 // reason returns the reason for starting the group, for the log.
 func (g *group) reason() string {
 	switch {
+	case g.moved:
+		return "in time on a faster worker"
 	case g.relaxed:
 		return "no preferred worker has taken it in time"
 	case g.overdue:
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -117,7 +117,7 @@
 // Guaranteed and long-running work always may. Other work may lose a multiple of the work that it is to do: beyond that,
 // others lose more than it gains.
 func (e *Engine) worthwhile(g *group, options []*preemptionOption, now Moment) bool {
-	if g.guaranteed || g.step.Lasts || g.step.EstimateMs == 0 {
+	if !g.fit.forSpeed && (g.guaranteed || g.step.Lasts || g.step.EstimateMs == 0) {
 		return true
 	}
 	ratio := maxLossRatio
@@ -296,7 +296,7 @@
 	j := e.jobs[ref.Job]
 	g := &group{job: j, ref: ref, batch: b, step: &j.Work.Steps[ref.Step], queue: e.queue(j)}
 	var placement []*worker
-	keepReservation, fits := now.Steady-b.reservedAt < reservationTimeout, true
+	keepReservation, fits := now.Steady-b.reservedAt < reservationTimeout, !e.releaseEnded(b, g.step)
 	tasksOn := map[*worker]int{}
 	for i := range b.Tasks {
 		t := &b.Tasks[i]
@@ -314,11 +314,13 @@
 		placement = append(placement, w)
 	}
 	switch {
+	case len(g.waiting) == 0:
+		e.releaseReservation(b, g.step)
 	case keepReservation && fits && g.queue.Advice != nil && !b.advice.allValid(placement, now):
 		e.askAdviser(g, now)
 	case keepReservation && fits:
+		g.moved, g.guaranteed = b.moving, !b.moving
 		e.releaseReservation(b, g.step)
-		g.guaranteed = true
 		e.start(g, placement, now)
 	case !keepReservation:
 		e.releaseReservation(b, g.step)
@@ -331,6 +333,7 @@
 		return
 	}
 	delete(e.reservations, b)
+	b.moving = false
 	for i := range b.Tasks {
 		t := &b.Tasks[i]
 		if w := e.workers[t.reservedOn]; w != nil {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -65,7 +65,7 @@
 		e.updateHealth(workerID, ref.Job, cause, now)
 	}
 	if cause == Done && !step.Lasts {
-		defer e.observeEnd(b, t, step, j.Work.Queue.Name, now)
+		defer e.noteStepEnd(b, t, step, e.queue(j), now)
 		e.completeTask(ref, j, b, t, now)
 		return true
 	}
--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -58,10 +58,11 @@
 	failAdvice int
 	// startRate is how many starts a second the owner can send; 0 means any number.
 	startRate float64
-	// speeds returns how many times as long a task takes on the worker of an index; nil means 1. The engine is told if
-	// known is set.
-	speeds func(i int) float64
-	known  bool
+	// speeds returns how many times as long a task takes on the worker of an index; nil means 1. The engine is told
+	// from knownFrom on if known is set.
+	speeds    func(i int) float64
+	known     bool
+	knownFrom time.Duration
 	// tail is the fraction of tasks that take seven times as long as the others of their step.
 	tail float64
 }
@@ -147,8 +148,9 @@
 	adviserAt time.Duration
 	questions int
 	// startsLeft is how many starts the owner can send now, as of startsAt.
-	startsLeft float64
-	startsAt   time.Duration
+	startsLeft   float64
+	startsAt     time.Duration
+	medianFactor float64
 	// onOrder is called for each order, if it is set.
 	onOrder func(Order)
 }
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"greengageline/pkg/model"
@@ -17,6 +18,7 @@
 		return
 	}
 	e.lastStallCheck = now.Steady
+	var stalled []TaskRef
 	for _, w := range e.sortedWorkers {
 		for ref, t := range w.tasks {
 			if w.Silent {
@@ -27,15 +29,30 @@
 			if j == nil || !t.Confirmed || t.Stopping || t.percent >= completePercent || j.Work.Steps[ref.Step].Lasts {
 				continue
 			}
-			if now.Steady-t.progressAt > stallTimeout(&j.Work.Steps[ref.Step]) {
-				e.orderStop(ref, t, "no progress within the stall time-out")
-				e.recordFailure(w, ref.Job, now)
+			if now.Steady-t.progressAt > stallTimeout(&j.Work.Steps[ref.Step], e.slowness(w)) {
+				stalled = append(stalled, ref)
 			}
 		}
+		slices.SortFunc(stalled, compareRefs)
+		for _, ref := range stalled {
+			e.orderStop(ref, w.tasks[ref], "no progress within the stall time-out")
+			e.recordFailure(w, ref.Job, now)
+		}
+		stalled = stalled[:0]
+	}
+}
+
+// slowness returns how many times as long a run may go without progress on the worker because that is slow. It is
+// bounded, as a worker on which runs hang looks slow too.
+func (e *Engine) slowness(w *worker) float64 {
+	if !e.uneven[w.Pool] || !w.speed.known {
+		return 1
 	}
+	return min(maxSlowness, max(1, w.speed.factor))
 }
 
-// stallTimeout returns how long a run of the step may go without progress before it counts as stalled.
-func stallTimeout(s *model.Step) time.Duration {
-	return max(minStallTimeout, time.Duration(stallFraction*float64(s.EstimateMs))*time.Millisecond)
+// stallTimeout returns how long a run of the step may go without progress before it counts as stalled, on a worker that
+// is slower by that factor.
+func stallTimeout(s *model.Step, slowness float64) time.Duration {
+	return max(minStallTimeout, time.Duration(slowness*stallFraction*float64(s.EstimateMs))*time.Millisecond)
 }
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -91,6 +91,9 @@
 	failedOn    string        // worker of the last failed run
 	avoidWorker string        // worker that would refuse the gang's present run
 	reservedOn  string        // worker on which capacity is reserved for the task
+	// moved is set once a run of the task was moved to a faster worker, whose speed class was then movedClass.
+	moved      bool
+	movedClass int
 }
 
 // Batch is the state of one step in one occurrence of a job: all tasks of that step.
@@ -121,6 +124,8 @@
 	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
 	waitReason     WaitReason
 	waitReportedAt time.Duration
+	// moving is set while capacity is reserved for runs that are moved to faster workers.
+	moving bool
 	// slowestRun is the longest time that a run of the batch took, as a multiple of what the estimate and the speed of its
 	// worker let expect. unmeasured is set if it does not hold for all of the batch's work.
 	slowestRun float64
