--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -13,7 +13,7 @@
 type Engine struct {
 	// Limits are the engine's settings; zero fields mean the defaults.
 	Limits Limits
-	// Speeds estimates how fast the workers are.
+	// Speeds holds the estimates of how fast the workers are.
 	Speeds speed.Table
 
 	plan          model.Plan
@@ -42,14 +42,16 @@
 	isolatedWorkers map[*worker]bool
 	// candidatesBuffer is reused by assignUpTo.
 	candidatesBuffer []candidate
-	guaranteedJobs   map[*Job]bool // urgent jobs within their guarantees, as of the last pass
+	// gangBuffer is reused by assignUpTo for gangs in pools of uneven speed.
+	gangBuffer     []candidate
+	guaranteedJobs map[*Job]bool // urgent jobs within their guarantees, as of the last pass
 	// urgentAccelerators is the number of accelerators that each workspace's guaranteed jobs need, as
 	// of the last pass.
 	urgentAccelerators map[string]int
-	// utilizations has the utilization of pools, and claims the shapes of the groups that have claimed workers,
+	// poolUses has how much of the pools is used, and claims the shapes of the groups that have claimed workers,
 	// both as of the present pass.
-	utilizations map[string]float64
-	claims       map[shape]bool
+	poolUses map[string]poolUse
+	claims   map[shape]bool
 	// poolClaims has the rank of the first group for which all workers of a pool are claimed, by pool, in the present pass.
 	poolClaims map[string]int
 	// lastUrgentAt is when a pass last saw an urgent job that had not ended.
@@ -69,6 +71,21 @@
 	nextQuestionAt, questionBackoff time.Duration
 	// looks holds the looks at workers decided on since the last call of TakeLooks.
 	looks []Look
+	// speedOf replaces Speeds in tests, if it is set.
+	speedOf func(worker string) speed.Estimate
+	// paceOf returns the pace of a queue, as typicalPace does; nil means that none is known.
+	paceOf func(queue string) float64
+	// speedsAt is when the speeds of the workers were last read. uneven has the pools whose workers differ in speed, and
+	// fastest the factor of the fastest worker of each of them.
+	speedsAt time.Duration
+	// movedAt is when a pass last looked for runs to move.
+	movedAt time.Duration
+	uneven  map[string]bool
+	fastest map[string]float64
+	// urgentLimits has the largest factor with which urgent work is in time, by uneven pool.
+	urgentLimits map[string]float64
+	// estimateErrors has the errors of the estimates of steps, by queue.
+	estimateErrors map[string]*estimateErrors
 }
 
 // Limits are the settings of an Engine that depend on its owner and its deployment.
@@ -97,6 +114,8 @@
 	// stallFraction of a step's estimate is the stall time-out if that is longer than minStallTimeout:
 	// on a healthy worker each percent of progress takes a hundredth of the run.
 	stallFraction = 0.12
+	// maxSlowness bounds by how much longer runs on slow workers may go without progress.
+	maxSlowness = 3
 	// quarantineThreshold is the number of failures in a row, each of another job, after which a worker
 	// is quarantined. A single failure may be the fault of the job.
 	quarantineThreshold = 2
@@ -157,7 +176,9 @@
 		e.jobs = map[string]*Job{}
 		e.changedJobs = map[string]bool{}
 		e.reservations = map[*Batch]TaskRef{}
-		e.utilizations = map[string]float64{}
+		e.poolUses = map[string]poolUse{}
+		e.uneven, e.fastest, e.urgentLimits = map[string]bool{}, map[string]float64{}, map[string]float64{}
+		e.estimateErrors = map[string]*estimateErrors{}
 		e.claims, e.poolClaims = map[shape]bool{}, map[string]int{}
 		e.lastRun = e.Limits.FirstRun
 	}
@@ -209,6 +230,9 @@
 	}
 	old.Worker = w
 	e.describeSpeed(&w)
+	if e.uneven[w.Pool] {
+		old.speed = newWorkerSpeed(e.estimateOf(w.ID))
+	}
 }
 
 // DropWorker removes a worker; the runs placed on it end as Lost.
@@ -288,6 +312,7 @@
 					b.ended++
 				case Placed:
 					t.placedAt, t.progressAt = now.Steady, now.Steady
+					b.unmeasured = true
 					e.restorePlacement(TaskRef{j.Work.ID, k, s, i}, t, &j.Work.Steps[s])
 					if !j.Open() {
 						e.orderStop(TaskRef{j.Work.ID, k, s, i}, t, "its job has ended")
--- a/internal/sched/evac.go
+++ b/internal/sched/evac.go
@@ -13,9 +13,6 @@
 // moveStopTime is the time that a stop takes at most: less than a second on every deployment.
 const moveStopTime = time.Second
 
-// moveReason is why a run in an evacuated zone is stopped, for the log.
-const moveReason = "its zone is evacuated and it can continue elsewhere"
-
 // move is a gang, or tasks of a step that are no gang, that could leave an evacuated zone. The waiting tasks of the group
 // are the runs to stop; loss is the work that stopping the first of them loses.
 type move struct {
@@ -30,7 +27,7 @@
 func (e *Engine) moveOut(now Moment) {
 	left := e.startsLeft
 	unplaceable := map[shape]bool{}
-	for _, m := range e.movable(now) {
+	for _, m := range e.movesOut(now) {
 		if left <= 0 {
 			return
 		}
@@ -51,13 +48,13 @@
 			}
 			continue
 		}
-		e.stopAndReserve(g, placement, now)
+		e.stopAndReserve(g, placement, movedOut, now)
 		left -= len(placement)
 	}
 }
 
-// movable returns what could leave the evacuated zones, in the order in which it is to move.
-func (e *Engine) movable(now Moment) []move {
+// movesOut returns what could leave the evacuated zones, in the order in which it is to move.
+func (e *Engine) movesOut(now Moment) []move {
 	groups := map[*Batch]*group{}
 	for _, w := range e.sortedWorkers {
 		if w.EvacuateBy == 0 || w.Silent {
@@ -86,7 +83,7 @@
 			continue
 		}
 		g.guaranteed = e.guaranteedJobs[g.job]
-		g.lateness, g.timeLeft = g.job.lateness(g.ref.Occurrence, g.queue, now)
+		g.lateness, g.timeLeft = e.lateness(g.job, g.ref.Occurrence, g.queue, now)
 		out = append(out, move{g, loss(&g.batch.Tasks[g.waiting[0]], g.step, now)})
 	}
 	slices.SortFunc(out, func(a, b move) int {
@@ -160,48 +157,3 @@
 	}
 	return e.findForAll(g, now), len(own) > 0
 }
-
-// stopAndReserve stops the first of the group's runs, one for each worker of placement, and reserves the capacity there.
-func (e *Engine) stopAndReserve(g *group, placement []*worker, now Moment) {
-	for at, w := range placement {
-		i := g.waiting[at]
-		ref := g.ref
-		ref.Task = i
-		e.orderStop(ref, &g.batch.Tasks[i], moveReason)
-		g.batch.Tasks[i].reservedOn = w.ID
-		w.reserved = w.reserved.Plus(g.step.Need(), 1)
-		w.rack.free = w.rack.free.Minus(g.step.Need(), 1)
-	}
-	g.batch.reservedAt, g.batch.moving = now.Steady, true
-	e.reservations[g.batch] = g.ref
-}
-
-// awaitsMove reports whether nothing of a batch with a reservation is to start in this pass since it is being moved: its
-// runs still stop, or have ended meanwhile. Capacity for a run that has ended by itself is released.
-func (e *Engine) awaitsMove(b *Batch, step *model.Step, now Moment) bool {
-	if !b.moving {
-		return false
-	}
-	left, stopping := 0, 0
-	for i := range b.Tasks {
-		t := &b.Tasks[i]
-		switch {
-		case t.reservedOn == "":
-		case t.Phase == Ended:
-			if w := e.workers[t.reservedOn]; w != nil {
-				w.reserved = w.reserved.Minus(step.Need(), 1)
-			}
-			t.reservedOn = ""
-		default:
-			left++
-			if t.Phase == Placed {
-				stopping++
-			}
-		}
-	}
-	if left == 0 || stopping > 0 && now.Steady-b.reservedAt >= reservationTimeout {
-		e.releaseReservation(b, step)
-		return true
-	}
-	return stopping > 0
-}
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -24,8 +24,9 @@
 	e.stopIncompleteGangs(now)
 	e.startReserved(now)
 	e.refreshRacks(now)
+	e.refreshSpeeds(now)
 	e.clearClaims()
-	clear(e.utilizations)
+	clear(e.poolUses)
 	e.openUnneeded(now)
 	unplaceable := map[shape]bool{}
 	e.startsLeft = budget
@@ -73,6 +74,7 @@
 		}
 	}
 	e.moveOut(now)
+	e.moveRuns(now)
 	return e.startsLeft <= 0
 }
 
@@ -101,21 +103,8 @@
 }
 
 // utilization returns the largest of the fractions of a pool's accelerators, cores and memory that placed
-// tasks use. Within a pass it is summed again only after a start.
-func (e *Engine) utilization(pool string) float64 {
-	if u, ok := e.utilizations[pool]; ok {
-		return u
-	}
-	var used, total model.Room
-	for _, w := range e.sortedWorkers {
-		if w.Pool == pool && w.exists() {
-			used, total = used.Plus(w.used, 1), total.Plus(w.Room, 1)
-		}
-	}
-	u := max(fraction(used.Accelerators, total.Accelerators), fraction(used.Millicores, total.Millicores), fraction(used.MemoryMB, total.MemoryMB))
-	e.utilizations[pool] = u
-	return u
-}
+// tasks use.
+func (e *Engine) utilization(pool string) float64 { return e.use(pool).all }
 
 // headroom returns the fraction of a pool's accelerators that non-urgent work must leave free: the
 // guarantees of all workspaces, less what their urgent jobs within them need, whether running or waiting,
@@ -149,7 +138,7 @@
 // as it must run however full the pool is. Work whose time until its goal is running out (headroomTimeLeft)
 // is exempt too, otherwise it would start too late to be of use.
 func (e *Engine) heldBackForGuarantees(g *group, now Moment) bool {
-	return g.queue.Priority > 0 && !g.step.Lasts && g.timeLeft > headroomTimeLeft && e.utilization(g.queue.Pool) > 1-e.headroom(g.queue.Pool, now)
+	return g.queue.Priority > 0 && !g.step.Lasts && g.timeLeft > headroomTimeLeft && e.headroomUsed(g.queue.Pool, now)
 }
 
 // fraction returns n divided by total, or 0 if total is not positive.
@@ -211,25 +200,28 @@
 // place starts the group, or as many of its tasks as fit if it is not a gang. It reports whether all
 // tasks were placed or capacity was reserved for them.
 func (e *Engine) place(g *group, now Moment) bool {
+	e.setFit(g, now)
 	if g.step.Gang && g.batch.incomplete {
 		return e.placeMissingMembers(g, now)
 	}
 	if g.step.Gang || g.step.OneRack {
 		if placement := e.findForAll(g, now); placement != nil {
-			e.start(g, placement, now)
+			if !e.preemptForSpeed(g, placement, now) {
+				e.start(g, placement, now)
+			}
 			return true
 		}
 		if g.step.Gang {
-			return !g.relaxed && e.preempt(g, now)
+			return !g.relaxed && e.preemptBySpeed(g, now)
 		}
 		if !g.maySpread(e, now) {
 			return false
 		}
 	}
-	if e.placeEach(g, now) || g.step.Lasts && e.placeOnDraining(g, now) {
+	if e.placeEachBySpeed(g, now) || g.step.Lasts && e.placeOnDraining(g, now) {
 		return true
 	}
-	return !g.relaxed && e.preempt(g, now)
+	return !g.relaxed && e.preemptBySpeed(g, now)
 }
 
 // placeOnDraining places waiting long-running tasks on workers that are being drained, and reports whether
@@ -337,7 +329,7 @@
 	if e.waitsForDataRack(g, now) {
 		return nil
 	}
-	return e.assignUpTo(g, now, e.racksWithRoom(g, false)...)
+	return e.away(g, func() []*worker { return e.assignUpTo(g, now, e.racksWithRoom(g, false)...) })
 }
 
 // findNearData finds workers on the rack of the step's data, or on any rack once the group has waited
@@ -385,7 +377,7 @@
 	if fits < len(g.waiting) {
 		return nil
 	}
-	return e.assign(g, now, racks...)
+	return e.away(g, func() []*worker { return e.assign(g, now, racks...) })
 }
 
 // findForAll finds workers for all waiting tasks at once. A step that asks for one rack gets one if
@@ -396,7 +388,7 @@
 		return e.findNearData(g, now)
 	}
 	if placement := e.findOnBestRack(g, now); placement != nil {
-		return placement
+		return e.findFaster(g, placement, now)
 	}
 	if !g.maySpread(e, now) && e.idleRackFits(g) {
 		return nil
@@ -407,6 +399,9 @@
 // findOnBestRack finds workers for all waiting tasks on the rack that has least free capacity relative
 // to its size. The rack of the step's data is preferred.
 func (e *Engine) findOnBestRack(g *group, now Moment) []*worker {
+	if g.fit.uneven {
+		return e.findOnRackBySpeed(g, now)
+	}
 	var best []*worker
 	least := 0.0
 	for _, r := range e.racksWithRoom(g, true) {
@@ -478,7 +473,7 @@
 
 // mayUse reports whether the worker is eligible and, if the queue has an adviser, has a valid ticket.
 func (g *group) mayUse(w *worker, healthyOnly bool, now Moment) bool {
-	return g.eligible(w, healthyOnly, now) && (g.queue.Advice == nil || g.batch.advice.valid(w.ID, now))
+	return g.eligible(w, healthyOnly, now) && g.fit.meets(w.speed, g.step.Gang) && (g.queue.Advice == nil || g.batch.advice.valid(w.ID, now))
 }
 
 // eligible reports whether the worker may run the group's tasks as far as the engine knows, whatever
@@ -531,7 +526,7 @@
 		g.batch.run, g.batch.startedAt = run, now.Steady
 	}
 	g.batch.incomplete, g.batch.waitReason = false, ""
-	delete(e.utilizations, g.queue.Pool)
+	delete(e.poolUses, g.queue.Pool)
 	e.startsLeft -= len(g.waiting)
 	for pos, i := range g.waiting {
 		if pos > 0 && !g.step.Gang {
@@ -553,6 +548,7 @@
 		if g.step.Gang {
 			checkpoint = g.batch.Checkpoint
 		}
+		g.batch.unmeasured = g.batch.unmeasured || checkpoint != ""
 		e.orders = append(e.orders, Order{
 			Task: ref, Run: t.Run, Worker: t.Worker, Checkpoint: checkpoint, Ticket: g.batch.advice.ticket(t.Worker), Reason: g.reason(),
 			Queue: g.queue.Name, Priority: g.queue.Priority, PlacedAt: now.Steady,
@@ -567,8 +563,10 @@
 // reason returns the reason for starting the group, for the log.
 func (g *group) reason() string {
 	switch {
-	case g.moving:
+	case g.moving == movedOut:
 		return "room that was reserved as its zone was evacuated"
+	case g.moving == movedFaster:
+		return "in time on a faster worker"
 	case g.relaxed:
 		return "no preferred worker has taken it in time"
 	case g.overdue:
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -117,7 +117,7 @@
 // Guaranteed and long-running work always may. Other work may lose a multiple of the work that it is to do: beyond that,
 // others lose more than it gains.
 func (e *Engine) worthwhile(g *group, options []*preemptionOption, now Moment) bool {
-	if g.guaranteed || g.step.Lasts || g.step.EstimateMs == 0 {
+	if !g.fit.forSpeed && (g.guaranteed || g.step.Lasts || g.step.EstimateMs == 0) {
 		return true
 	}
 	ratio := maxLossRatio
@@ -317,11 +317,13 @@
 		placement = append(placement, w)
 	}
 	switch {
+	case len(g.waiting) == 0:
+		e.releaseReservation(b, g.step)
 	case keepReservation && fits && g.queue.Advice != nil && !b.advice.allValid(placement, now):
 		e.askAdviser(g, now)
 	case keepReservation && fits:
+		g.guaranteed = b.moving != movedFaster
 		e.releaseReservation(b, g.step)
-		g.guaranteed = true
 		e.start(g, placement, now)
 	case !keepReservation:
 		e.releaseReservation(b, g.step)
@@ -334,7 +336,7 @@
 		return
 	}
 	delete(e.reservations, b)
-	b.moving = false
+	b.moving = notMoving
 	for i := range b.Tasks {
 		t := &b.Tasks[i]
 		if w := e.workers[t.reservedOn]; w != nil {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -92,6 +92,9 @@
 	avoidWorker string        // worker that would refuse the gang's present run
 	reservedOn  string        // worker on which capacity is reserved for the task
 	pace        pace
+	// moved is set once a run of the task was moved to a faster worker, whose speed class was then movedClass.
+	moved      bool
+	movedClass int
 }
 
 // Batch is the state of one step in one occurrence of a job: all tasks of that step.
@@ -115,8 +118,8 @@
 	// ready is set at readyAt, once the batch could first start.
 	ended      int
 	reservedAt time.Duration
-	// moving is set while the reserved capacity is for runs that leave an evacuated zone, which may still be stopping.
-	moving  bool
+	// moving is why the reserved capacity is for runs that move there, which may still be stopping.
+	moving  moveCause
 	readyAt time.Duration
 	ready   bool
 	// suspectsWaitFrom is since when suspects among the tasks wait; 0 if none do.
@@ -127,6 +130,10 @@
 	// members tells when the members of a gang's run began to work. speedKeys has the names of the step in Engine.Speeds.
 	members   members
 	speedKeys [2]string
+	// slowestRun is the longest time that a run of the batch took, as a multiple of what the estimate and the speed of its
+	// worker let expect. unmeasured is set if it does not hold for all of the batch's work.
+	slowestRun float64
+	unmeasured bool
 }
 
 // State is a job's state as its caller sees it.
@@ -236,6 +243,8 @@
 	// isolated runs there.
 	keptFor      string
 	isolatedRuns int
+	// speed is as of the last refreshSpeeds; it is used where the workers of the pool differ.
+	speed workerSpeed
 }
 
 // free returns the capacity that is neither used nor reserved. It is negative where a reservation waits
