sched: sum a pool's accelerators once for the headroom

Cause: each group that waits summed the accelerators of all workers again to find the headroom; with 3,000 workers and hundreds of waiting groups that was a fifth of a pass or more.

Changed: Engine.headroom takes the sum from Engine.use, which keeps it until a start.

--- a/internal/sched/headroom.go
+++ b/internal/sched/headroom.go
@@ -9,7 +9,8 @@
 // poolUse is how much of a pool is used: the largest of the fractions of its accelerators, cores and memory that placed
 // tasks use, of all workers and of those that are fast enough for urgent work.
 type poolUse struct {
-	all, urgent float64
+	all, urgent  float64
+	accelerators int // the pool's
 	// urgentShare is the fraction of the pool's accelerators that those workers have.
 	urgentShare float64
 }
@@ -33,7 +34,7 @@
 			usedFast, totalFast = usedFast.Plus(w.used, 1), totalFast.Plus(w.Room, 1)
 		}
 	}
-	u := poolUse{all: largestFraction(used, total), urgentShare: 1}
+	u := poolUse{all: largestFraction(used, total), accelerators: total.Accelerators, urgentShare: 1}
 	u.urgent = u.all
 	if uneven && totalFast.Accelerators > 0 {
 		u.urgent, u.urgentShare = largestFraction(usedFast, totalFast), fraction(totalFast.Accelerators, total.Accelerators)
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -115,12 +115,7 @@
 	if now.Steady-e.lastUrgentAt > headroomTimeout {
 		return 0
 	}
-	total := 0
-	for _, w := range e.sortedWorkers {
-		if w.Pool == pool && w.exists() {
-			total += w.Room.Accelerators
-		}
-	}
+	total := e.use(pool).accelerators
 	if total == 0 {
 		return 0
 	}
