leader, metric, trace: show the speed of workers

Cause: an operator could not see which workers the scheduler takes as slow.

What changed: event worker-speed at each change of a worker's class, which has separate bounds for entering and leaving; the field speed of task-placed and its text in explain where the worker differs; the metric workers_speed with four series. An unknown worker counts as typical unless its kind or rack matters.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -139,6 +139,7 @@
 		if st, ok := o.Stats(ctx); ok {
 			g.StartWindow, g.StartsWaiting = st.StartWindow, st.StartsWaiting
 			g.OpenJobs, g.Unstarted, g.Placed, g.Quarantine, g.Silent = st.Open, st.Unstarted, st.Placed, st.Quarantined, st.Silent
+			g.Speeds = st.Speeds.ByName()
 		}
 	}
 	return g
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -101,6 +101,7 @@
 	BadVM          ID = 714
 	WorkerReborn   ID = 715
 	VMsListed      ID = 716
+	WorkerSpeed    ID = 717
 	ObjectDown     ID = 720
 )
 
@@ -186,6 +187,7 @@
 	{BadVM, "bad-vm-entry", zerolog.WarnLevel, "An entry of the VM list, or of a worker, failed its checks and is ignored; the line is written once until the entry is well again."},
 	{WorkerReborn, "worker-reborn", zerolog.WarnLevel, "A worker has restarted under its id and knows nothing of before."},
 	{VMsListed, "vms-listed", zerolog.WarnLevel, "The platform's list of VMs can no longer be read, or again; no VM goes into upkeep meanwhile."},
+	{WorkerSpeed, "worker-speed", zerolog.InfoLevel, "The speed class of a worker changed; the line gives the class before, how many times as long tasks take there as on the typical worker of the pool, the bounds of one standard error, and the number of samples."},
 	{ObjectDown, "object-store-down", zerolog.WarnLevel, "An answer could not be written to the object store and is kept by its worker."},
 }
 
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -309,9 +309,7 @@
 		}
 		delete(o.confirmedRuns, order.Task)
 		o.pendingStarts = append(o.pendingStarts, order)
-		o.lead.Log.Emit(event.TaskPlaced).Str("task", order.Task.String()).Int64("run", order.Run).
-			Str("worker", order.Worker).Str("queue", order.Queue).Str("reason", order.Reason).
-			Int64("epoch", o.epoch).Uint64("plan", o.planVersion).Send()
+		o.logPlaced(order)
 	}
 	for _, w := range o.engine.TakeWaits() {
 		o.lead.Log.Emit(event.WorkWaiting).Str("job", w.Step.Job).Int("step", w.Step.Step).Str("queue", w.Queue).Int("priority", w.Priority).
@@ -321,6 +319,7 @@
 		o.askAdviser(q)
 	}
 	o.takeLooks()
+	o.reportSpeeds()
 	o.collectChanged()
 	o.commit()
 }
--- a/internal/leader/speeds.go
+++ b/internal/leader/speeds.go
@@ -10,6 +10,7 @@
 	"greengageline/internal/clock"
 	"greengageline/internal/event"
 	"greengageline/internal/rows"
+	"greengageline/internal/sched"
 )
 
 // SpeedTable has a row for each shard of what is known of the workers' speeds, in a single part.
@@ -35,6 +36,30 @@
 	collectAt time.Duration // when rows are collected again
 }
 
+// reportSpeeds logs the changes of the workers' speed classes.
+func (o *Owner) reportSpeeds() {
+	for _, c := range o.engine.Speeds.TakeChanges() {
+		e := c.Estimate
+		o.lead.Log.Emit(event.WorkerSpeed).Str("worker", c.Worker).Str("class", c.To.String()).Str("before", c.From.String()).
+			Str("factor", factorText(e.Factor)).Str("low", factorText(e.Low)).Str("high", factorText(e.High)).Int("samples", e.Samples).
+			Int64("epoch", o.epoch).Send()
+	}
+}
+
+// logPlaced logs a start that was decided, with the factor of its worker if that differs from the others.
+func (o *Owner) logPlaced(order sched.Order) {
+	line := o.lead.Log.Emit(event.TaskPlaced).Str("task", order.Task.String()).Int64("run", order.Run).
+		Str("worker", order.Worker).Str("queue", order.Queue).Str("reason", order.Reason).
+		Int64("epoch", o.epoch).Uint64("plan", o.planVersion)
+	if f := o.engine.Speeds.Factor(order.Worker).Factor; f != 1 {
+		line = line.Str("speed", factorText(f))
+	}
+	line.Send()
+}
+
+// factorText returns the text of a factor for the log.
+func factorText(f float64) string { return strconv.FormatFloat(f, 'f', 2, 64) }
+
 // readSpeeds reads the stored speeds and applies them in the loop. Neither the rebuild nor the first pass waits for it:
 // without them all workers count as alike.
 func (o *Owner) readSpeeds() {
--- a/internal/metric/work.go
+++ b/internal/metric/work.go
@@ -26,6 +26,8 @@
 	Placed     int
 	Quarantine int
 	Silent     int
+	// Speeds has the number of workers by speed class.
+	Speeds map[string]int
 	// StartWindow is how many starts may be in flight, StartsWaiting how many are decided and not sent.
 	StartWindow, StartsWaiting int
 	StoreFails                 int64
@@ -65,6 +67,7 @@
 	{"runs_placed", "Runs that are placed on workers."},
 	{"workers_quarantined", "Workers that get nothing because runs fail there."},
 	{"workers_silent", "Workers that do not answer."},
+	{"workers_speed", "Workers by speed class at the owner: unknown, fast, typical, slow."},
 	{"starts_window", "Starts that the owner may have in flight, by how promptly they are answered."},
 	{"starts_waiting", "Starts that are decided and not sent yet."},
 	{"store_failures_total", "Calls of the owner to the store that failed."},
@@ -170,9 +173,23 @@
 			return fmt.Errorf("declare metric %q: %w", name, err)
 		}
 	}
+	_, err := m.Float64ObservableGauge("workers_speed", metric.WithDescription(description("workers_speed")),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			speeds := gauges().Speeds
+			for _, class := range speedClasses {
+				o.Observe(float64(speeds[class]), metric.WithAttributes(attribute.String("class", class)))
+			}
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("declare metric %q: %w", "workers_speed", err)
+	}
 	return nil
 }
 
+// speedClasses are the classes of workers by speed, as in internal/speed.
+var speedClasses = []string{"unknown", "fast", "typical", "slow"}
+
 // Handler returns the HTTP handler that serves the metrics in the Prometheus text format.
 func (w *Work) Handler() http.Handler {
 	if w == nil || w.handler == nil {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -349,11 +349,13 @@
 // (Quarantined), and workers that do not answer (Silent).
 type Stats struct {
 	Open, Unstarted, Placed, Quarantined, Silent int
+	// Speeds has the number of workers by speed class.
+	Speeds speed.Counts
 }
 
 // Stats returns the present counts of jobs, placed tasks and workers.
 func (e *Engine) Stats(now Moment) Stats {
-	st := Stats{Open: len(e.openJobs)}
+	st := Stats{Open: len(e.openJobs), Speeds: e.Speeds.Classes()}
 	for _, j := range e.openJobs {
 		if !j.Started {
 			st.Unstarted++
--- a/internal/speed/model_test.go
+++ b/internal/speed/model_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -308,6 +309,20 @@
 	}
 }
 
+// BenchmarkState reports the memory that a worker takes, with the steps that are kept.
+func BenchmarkState(b *testing.B) {
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m, names, steps := benchmarkModel()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(m.factors)), "B/worker")
+		runtime.KeepAlive([]any{m, names, steps})
+	}
+}
+
 func BenchmarkFactor(b *testing.B) {
 	m, names, _ := benchmarkModel()
 	b.ReportAllocs()
--- a/internal/speed/pool.go
+++ b/internal/speed/pool.go
@@ -157,7 +157,6 @@
 		w.inSampled = true
 		p.sampled++
 	}
-	was, even := w.classNow(), !p.uneven
 	p.tally(w, w.tally())
 	p.judge()
 	if p.refreshes++; p.refreshes%max(groupInterval, len(p.racks.byName)) == 0 {
@@ -166,17 +165,20 @@
 	}
 	p.recenter()
 	w.class = w.classify(w.class)
-	t.noteClass(w, was, even)
+	t.noteClass(w)
 	t.noteStored(w)
 }
 
-// noteClass records a change of a worker's class. While all workers are alike there is none.
-func (t *Table) noteClass(w *worker, was Class, even bool) {
-	is := w.classNow()
-	if is == was || len(t.changes) >= maxChanges || even && !w.pool.uneven || is == Typical && was == Unknown {
+// noteClass records a change of a worker's class since it was last recorded. That a worker is typical at first is no change.
+func (t *Table) noteClass(w *worker) {
+	is, was := w.classNow(), w.noted
+	if is == was || len(t.changes) >= maxChanges {
 		return
 	}
-	t.changes = append(t.changes, Change{Worker: w.ID, From: was, To: is, Estimate: w.estimate()})
+	w.noted = is
+	if is != Typical || was != Unknown {
+		t.changes = append(t.changes, Change{Worker: w.ID, From: was, To: is, Estimate: w.estimate()})
+	}
 }
 
 // tally returns how the worker counts in the decision whether its pool is even.
--- a/internal/speed/store_test.go
+++ b/internal/speed/store_test.go
@@ -105,6 +105,32 @@
 	is.True(m.t.Factor("new").Factor > 1.3)
 }
 
+// Guards against changes of class that an operator is not told of, or told of again and again, and against counts that
+// don't agree with them.
+func TestChangesOfClassAreTold(t *testing.T) {
+	is := is.New(t)
+	m := newModel(1, 100, twoClasses(0.33, 1.7, 0.7))
+	slow, told := map[string]bool{}, 0
+	for range 400 {
+		m.step()
+		for _, c := range m.t.TakeChanges() {
+			is.True(c.From != c.To)
+			slow[c.Worker] = c.To == Slow
+			told++
+		}
+	}
+	is.True(told < 100)
+	counts, want := m.t.Classes().ByName(), 0
+	for i := range m.factors {
+		if m.factors[i] == 1.7 {
+			want++
+			is.True(slow[workerName(i)])
+		}
+	}
+	is.Equal(counts["slow"], want)
+	is.Equal(counts["slow"]+counts["typical"]+counts["fast"], len(m.factors))
+}
+
 // Guards against rows from another version or a damaged store that end the process or give factors out of range.
 func FuzzRestore(f *testing.F) {
 	for shard, data := range learned().t.TakeChanged() {
--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -43,8 +43,21 @@
 	Fast
 	Typical
 	Slow
+	classes
 )
 
+// Counts has the number of workers of each class.
+type Counts [classes]int
+
+// ByName returns the counts by the names of the classes.
+func (c Counts) ByName() map[string]int {
+	out := make(map[string]int, classes)
+	for k, n := range c {
+		out[Class(k).String()] = n //nolint:gosec // one of the classes
+	}
+	return out
+}
+
 // String returns the name of the class as logs and metrics use it.
 func (c Class) String() string { return [...]string{"unknown", "fast", "typical", "slow"}[c] }
 
@@ -181,8 +194,8 @@
 	}
 }
 
-// Factor returns the estimate for a worker. It is 1 where the difference is within the noise, and for all workers of an
-// even pool.
+// Factor returns the estimate for a worker. It is 1 where the difference is within the noise, for all workers of an even
+// pool, and for an unknown worker, unless its kind or rack matters.
 func (t *Table) Factor(id string) Estimate {
 	w := t.workers[id]
 	if w == nil {
@@ -232,8 +245,7 @@
 }
 
 // Classes returns the number of workers by class.
-func (t *Table) Classes() map[Class]int {
-	out := map[Class]int{Unknown: 0, Fast: 0, Typical: 0, Slow: 0}
+func (t *Table) Classes() (out Counts) {
 	for _, w := range t.workers {
 		out[w.classNow()]++
 	}
--- a/internal/speed/worker.go
+++ b/internal/speed/worker.go
@@ -19,6 +19,10 @@
 	maxRestored = 4
 	// differs is the least difference from the typical speed that counts, as a logarithm: 16 %. Half of it counts as noise.
 	differs = 0.15
+	// enterMass and leaveMass are the probabilities of a speed from which a worker enters its class and below which it
+	// leaves it.
+	enterMass = 0.9
+	leaveMass = 0.5
 	// openWidth is how far a speed may lie from the mean of a settled estimate.
 	openWidth = 0.25
 	// deviation is how many standard deviations from the estimate a sample is that may contradict it.
@@ -54,7 +58,7 @@
 	evidence           float32 // weight of the samples
 	settled            float64 // probability of a speed near the mean
 	differs            float64 // probability of a speed that differs from the typical one
-	class              Class
+	class, noted       Class   // by the estimate; as last recorded
 	tallied            tally
 	// storedMean, storedWeight and storedClass are what counts as stored.
 	storedMean   float64
@@ -198,7 +202,7 @@
 		return w.cached
 	}
 	x, sd := w.mean-w.pool.center, math.Sqrt(w.variance)
-	if math.Abs(x) < differs/2 {
+	if math.Abs(x) < differs/2 || w.used == 0 && !w.pool.kinds.matters && !w.pool.racks.matters {
 		x = 0
 	}
 	e.Factor, e.Low, e.High = math.Exp(x), math.Exp(x-sd), math.Exp(x+sd)
@@ -217,19 +221,22 @@
 	return w.class
 }
 
-// classify returns the class by the estimate. Between the bounds of two classes the worker keeps its class.
+// classify returns the class by the estimate. A worker enters a class with enterMass and stays in it down to leaveMass, so
+// that it does not change again and again between two.
 func (w *worker) classify(old Class) Class {
-	x := w.mean - w.pool.center
-	margin := func(c Class) float64 {
-		if c == old {
-			return -0.05
+	var below, above float64
+	for i, p := range w.post {
+		switch x := speedAt(i) - w.pool.center; {
+		case x > differs:
+			above += float64(p)
+		case x < -differs:
+			below += float64(p)
 		}
-		return 0.05
 	}
 	switch {
-	case x > differs+margin(Slow):
+	case above >= enterMass || old == Slow && above >= leaveMass:
 		return Slow
-	case x < -differs-margin(Fast):
+	case below >= enterMass || old == Fast && below >= leaveMass:
 		return Fast
 	}
 	return Typical
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -100,13 +100,14 @@
 	return out
 }
 
-// templates holds the text of each event by its name. A name in braces stands for a field of the line.
+// templates holds the text of each event by its name. A name in braces stands for a field of the line; text in brackets
+// is left out if the line lacks the field in it.
 var templates = map[string]string{
 	"work-accepted":  "accepted into {queue} for workspace {workspace}, stored in {took_ms} ms (plan {plan}, repeated: {repeated})",
 	"work-refused":   "{op} not done: {error} (plan {plan})",
 	"work-cancelled": "cancelled by its caller (known: {found})",
 	"work-ended":     "shown as {state} from now on (epoch {epoch})",
-	"task-placed":    "task {task} goes to {worker} as run {run}: {reason} (epoch {epoch})",
+	"task-placed":    "task {task} goes to {worker} as run {run}: {reason} (epoch {epoch})[, where tasks take {speed} times as long]",
 	"task-ended":     "task {task} run {run} ended on {worker}: {cause} (newest run: {present})",
 	"task-stopped":   "task {task} run {run} is stopped on {worker}: {reason}",
 	"work-waiting":   "step {step} waits with {waiting} tasks after {for_ms} ms: {reason}",
@@ -123,10 +124,14 @@
 	"worker-silent":  "worker {worker} does not answer: {error}",
 	"worker-back":    "worker {worker} answers again",
 	"worker-reborn":  "worker {worker} has restarted",
+	"worker-speed":   "worker {worker} is now {class}, before {before}: tasks take {factor} times as long as on the typical one ({samples} samples)",
 	"worker-leaving": "worker {worker} gets nothing new: {reason}",
 }
 
-var placeholder = regexp.MustCompile(`\{(\w+)\}`)
+var (
+	placeholder = regexp.MustCompile(`\{(\w+)\}`)
+	optional    = regexp.MustCompile(`\[[^\]]*\{(\w+)\}[^\]]*\]`)
+)
 
 // Message returns the text of the line. For an event without a template it returns the event name
 // and the fields as JSON.
@@ -139,6 +144,12 @@
 		}
 		return l.Name + " " + string(data)
 	}
+	template = optional.ReplaceAllStringFunc(template, func(part string) string {
+		if name := placeholder.FindStringSubmatch(part)[1]; l.Fields[name] == nil {
+			return ""
+		}
+		return strings.Trim(part, "[]")
+	})
 	return strings.TrimSpace(placeholder.ReplaceAllStringFunc(template, func(name string) string {
 		return fieldText(l.Fields[strings.Trim(name, "{}")])
 	}))
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -86,3 +86,13 @@
 	_, err := Read(iotest.ErrReader(errRead))
 	is.True(errors.Is(err, errRead))
 }
+
+// Guards against a text that names no figure, or drops the reason, where the line of a start has no speed.
+func TestSpeedIsNamedWhereItIsKnown(t *testing.T) {
+	is := is.New(t)
+	fields := map[string]any{"task": "a.0.0.1", "worker": "w", "run": 7.0, "reason": "free room", "epoch": 1.0}
+	l := Line{Name: "task-placed", Fields: fields}
+	is.Equal(l.Message(), "task a.0.0.1 goes to w as run 7: free room (epoch 1)")
+	fields["speed"] = "2.43"
+	is.Equal(l.Message(), "task a.0.0.1 goes to w as run 7: free room (epoch 1), where tasks take 2.43 times as long")
+}
