--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -150,6 +150,7 @@
 			g.EvacuatedZones, g.UnfitAccelerators, g.UnfitGangs = st.EvacuatedZones, st.UnfitAccelerators, st.UnfitGangs
 			g.StartWindow, g.StartsWaiting = st.StartWindow, st.StartsWaiting
 			g.OpenJobs, g.Unstarted, g.Placed, g.Quarantine, g.Silent = st.Open, st.Unstarted, st.Placed, st.Quarantined, st.Silent
+			g.Speeds = st.Speeds.ByName()
 		}
 	}
 	return g
