--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -19,6 +19,7 @@
 	"greengageline/internal/cell"
 	"greengageline/internal/config"
 	"greengageline/internal/event"
+	"greengageline/internal/guard"
 	"greengageline/internal/jobapi"
 	"greengageline/internal/ledger"
 	"greengageline/internal/metric"
@@ -32,6 +33,9 @@
 	"greengageline/internal/worker"
 )
 
+// reportInterval is how often refused clients are looked for.
+const reportInterval = 2 * time.Second
+
 // LogWriter is the destination of a node's log lines.
 type LogWriter struct{ io.Writer }
 
@@ -52,6 +56,7 @@
 // injector must provide a setup.Settings and a LogWriter.
 func Provide(i do.Injector) {
 	do.ProvideValue(i, &gaugeSource{})
+	do.Provide(i, providePorts)
 	do.Provide(i, provideLog)
 	do.Provide(i, provideTable)
 	do.Provide(i, provideMeter)
@@ -68,6 +73,12 @@
 	return event.New(do.MustInvoke[LogWriter](i), s.Node, level), nil
 }
 
+// providePorts bounds the clients of the node.
+func providePorts(i do.Injector) (*guard.Ports, error) {
+	s := do.MustInvoke[setup.Settings](i)
+	return guard.NewPorts(guard.Limits{MemoryMB: s.MemoryMB, MaxFds: s.MaxFds}, s.MaxBody), nil
+}
+
 func provideTable(i do.Injector) (*table.Table, error) {
 	s := do.MustInvoke[setup.Settings](i)
 	return &table.Table{Wire: &wire.Client{Addr: s.Platform}}, nil
@@ -81,6 +92,14 @@
 		return nil, err
 	}
 	var down atomic.Bool
+	ports := do.MustInvoke[*guard.Ports](i)
+	c := &ports.Counters
+	if err := m.DeclareClients(map[string]func() int64{
+		"clients_too_large_total": c.TooLarge.Load, "clients_no_memory_total": c.NoMemory.Load, "clients_stalled_total": c.Stalled.Load,
+		"clients_crowded_total": c.Crowded.Load, "request_bytes_held": ports.Held,
+	}); err != nil {
+		return nil, err
+	}
 	tab.Observe = func(op string, elapsed time.Duration, err error) {
 		unknown := errors.Is(err, table.ErrOutcomeUnknown)
 		m.Table(op, elapsed, unknown)
@@ -138,6 +157,7 @@
 	Node *node.Node
 
 	settings      setup.Settings
+	ports         *guard.Ports
 	app           *fiber.App
 	rpc           *grpc.Server
 	stopRequested chan struct{}
@@ -163,7 +183,7 @@
 		return nil, fmt.Errorf("build node: %w", err)
 	}
 	p := &Process{
-		Node: n, settings: s, stopRequested: make(chan struct{}),
+		Node: n, settings: s, ports: do.MustInvoke[*guard.Ports](i), stopRequested: make(chan struct{}),
 		done: make(chan struct{}), failed: make(chan error, 2),
 	}
 	return p, p.serve()
@@ -179,16 +199,17 @@
 		_ = callers.Close()
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	p.app = fiber.New(fiber.Config{
-		DisableStartupMessage: true, BodyLimit: bodyReadFactor * p.settings.MaxBody, Immutable: true,
-		ErrorHandler: writeHTTPError,
-	})
-	p.app.Use(p.limitBody)
+	limits := guard.Limits{MemoryMB: p.settings.MemoryMB, MaxFds: p.settings.MaxFds}
+	callers = guard.NewListener(callers, limits.CallerConns(), &p.ports.Counters)
+	peers = p.ports.Peers.Listen(peers, limits.PeerConns())
+	p.app = fiber.New(guard.Config(fiber.Config{Immutable: true, ErrorHandler: writeHTTPError}))
+	p.app.Use(guard.Track, p.readBody)
 	(&jobapi.API{Node: p.Node}).Mount(p.app)
 	(&admin.API{Node: p.Node, Stop: p.RequestStop}).Mount(p.app)
-	p.rpc = peer.NewServer(nil, p.Node.Handlers())
+	p.rpc = peer.NewServer(&p.ports.Peers, p.Node.Handlers())
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	go p.reportClients(ctx)
 	go func() { p.failed <- p.app.Listener(callers) }()
 	go func() { p.failed <- p.rpc.Serve(peers) }()
 	go func() {
@@ -198,18 +219,41 @@
 	return nil
 }
 
-// bodyReadFactor times MaxBody is the body size up to which the server reads a request.
-// A body between MaxBody and that size is read in full before it is refused, because a
-// caller that is still sending when the connection closes would not see the reply.
-const bodyReadFactor = 8
-
-func (p *Process) limitBody(c *fiber.Ctx) error {
-	if len(c.Body()) > p.settings.MaxBody {
-		return fiber.ErrRequestEntityTooLarge
+// readBody reads the body of a request within the limits for the handlers that follow.
+func (p *Process) readBody(c *fiber.Ctx) error {
+	if c.Request().Header.ContentLength() == 0 || !c.Request().IsBodyStream() {
+		return c.Next()
+	}
+	data, hold, err := guard.ReadBody(c, &p.ports.Bodies, p.settings.MaxBody)
+	defer hold.Release()
+	if err != nil {
+		return err
 	}
+	c.Request().SetBodyRaw(data)
+	c.Request().Header.Del(fiber.HeaderContentEncoding) // it is the identity
 	return c.Next()
 }
 
+// statusByError maps errors of reading a body to HTTP statuses.
+var statusByError = map[error]int{
+	guard.ErrTooLarge: fiber.StatusRequestEntityTooLarge, guard.ErrEncoding: fiber.StatusUnsupportedMediaType,
+	guard.ErrIncomplete: fiber.StatusRequestTimeout, guard.ErrNoMemory: fiber.StatusServiceUnavailable,
+}
+
+// reportClients logs which clients were refused until ctx ends.
+func (p *Process) reportClients(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.ports.Report(p.Node.Log)
+		}
+	}
+}
+
 // writeHTTPError replies to errors of the HTTP layer with a jobapi.Problem, as for all
 // other errors.
 func writeHTTPError(c *fiber.Ctx, err error) error {
@@ -219,6 +263,15 @@
 	if errors.As(err, &httpErr) {
 		status = httpErr.Code
 	}
+	for known, code := range statusByError {
+		if errors.Is(err, known) {
+			status = code
+		}
+	}
+	if status == fiber.StatusServiceUnavailable {
+		p.Error, p.Next = "not-ready", "send again with the same key"
+		c.Set(fiber.HeaderRetryAfter, "1")
+	}
 	if status == fiber.StatusRequestEntityTooLarge {
 		p.Error, p.Next = "too-large", "send a smaller body, or keep large data in the object store"
 	}
--- /dev/null
+++ b/internal/guard/ports.go
@@ -0,0 +1,54 @@
+package guard
+
+import (
+	"time"
+
+	"greengageline/internal/event"
+)
+
+// reportInterval is the least time between two log lines on clients that were refused.
+const reportInterval = 10 * time.Second
+
+// Ports is what bounds the clients on all ports of a process. It must not be copied.
+type Ports struct {
+	Counters Counters
+	Bodies   Budget
+	Peers    Peers
+	// Owns reports whether the process owns the work, whose state needs memory; nil means never. It must be set before
+	// the first request.
+	Owns func() bool
+
+	// reported and reportedAt belong to the goroutine that calls Report.
+	reported   [4]int64
+	reportedAt time.Time
+}
+
+// NewPorts returns the bounds that follow from l. The bodies have room for two of maxBody bytes in any case.
+func NewPorts(l Limits, maxBody int) *Ports {
+	p := &Ports{}
+	least := int64(2 * heldPerByte * float64(maxBody) / largeShare)
+	owned, others := max(least, l.Bodies(true)), max(least, l.Bodies(false))
+	p.Bodies.Counters, p.Peers.Counters, p.Peers.Bytes = &p.Counters, &p.Counters, l.PeerBytes()
+	p.Bodies.Size = func() int64 {
+		if p.Owns != nil && p.Owns() {
+			return owned
+		}
+		return others
+	}
+	return p
+}
+
+// Held returns the bytes that bodies and unfinished messages hold.
+func (p *Ports) Held() int64 { return p.Bodies.Held() + p.Peers.Held() }
+
+// Report logs the clients that were refused since the last line, at most every 10 seconds.
+func (p *Ports) Report(log *event.Log) {
+	c := &p.Counters
+	now := [4]int64{c.TooLarge.Load(), c.NoMemory.Load(), c.Stalled.Load(), c.Crowded.Load()}
+	if now == p.reported || time.Since(p.reportedAt) < reportInterval {
+		return
+	}
+	log.Emit(event.ClientsRefused).Int64("too_large", now[0]-p.reported[0]).Int64("no_memory", now[1]-p.reported[1]).
+		Int64("stalled", now[2]-p.reported[2]).Int64("crowded", now[3]-p.reported[3]).Int64("held_bytes", p.Held()).Send()
+	p.reported, p.reportedAt = now, time.Now()
+}
--- a/internal/guard/sizes.go
+++ b/internal/guard/sizes.go
@@ -23,6 +23,11 @@
 	// a goroutine and the request's header.
 	connPart  = 1.0 / 8
 	connBytes = 24 << 10
+	// peerPart is the part of the memory for unfinished messages of nodes, and peerConnPart that for their connections,
+	// each of which takes peerConnBytes: two buffers of 32 KB and three goroutines.
+	peerPart      = 1.0 / 16
+	peerConnPart  = 1.0 / 8
+	peerConnBytes = 80 << 10
 	// callerFds and peerFds are the parts of the descriptors for the connections of callers and of nodes. The others are
 	// for the store and the workers.
 	callerFds = 1.0 / 4
@@ -62,10 +67,12 @@
 }
 
 // PeerConns returns the most connections of other nodes.
-func (l Limits) PeerConns() int { return int(l.fds() * peerFds) }
+func (l Limits) PeerConns() int {
+	return int(math.Min(l.fds()*peerFds, l.memory()*peerConnPart/peerConnBytes))
+}
 
 // PeerBytes returns the bytes of unfinished messages that other nodes may have in this one.
-func (l Limits) PeerBytes() int64 { return int64(l.memory() * bodyPart) }
+func (l Limits) PeerBytes() int64 { return int64(l.memory() * peerPart) }
 
 // Apply makes the runtime collect garbage more often when the heap comes near the limit. It does nothing if no memory is given.
 func (l Limits) Apply() {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -36,6 +36,7 @@
 	jobsEnded      metric.Int64Counter
 	requests       metric.Int64Counter
 	evictions      metric.Int64Counter
+	sdk            metric.Meter
 }
 
 // New returns a Meter that calls gauges at each scrape for the current gauge values, one per cell.
@@ -46,7 +47,7 @@
 		return nil, fmt.Errorf("make metrics exporter: %w", err)
 	}
 	m := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("greengageline")
-	out := &Meter{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	out := &Meter{sdk: m, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
 	if err := out.declareInstruments(m); err != nil {
 		return nil, fmt.Errorf("declare metrics: %w", err)
 	}
@@ -122,6 +123,21 @@
 	return nil
 }
 
+// DeclareClients declares the metrics of WorkNames on clients outside the limits, by name with a function that returns
+// the value.
+func (m *Meter) DeclareClients(values map[string]func() int64) error {
+	for name, value := range values {
+		if _, err := m.sdk.Int64ObservableGauge(name, metric.WithDescription(description(name)),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(value())
+				return nil
+			})); err != nil {
+			return fmt.Errorf("declare metric %q: %w", name, err)
+		}
+	}
+	return nil
+}
+
 // Handler returns the HTTP handler that serves the metrics in the Prometheus text format.
 func (m *Meter) Handler() http.Handler {
 	if m == nil || m.handler == nil {
--- a/pkg/model/check.go
+++ b/pkg/model/check.go
@@ -63,8 +63,13 @@
 	return fmt.Errorf("%w: %w", ErrInvalid, err)
 }
 
-// maxDepth is the maximum nesting depth of a decoded message.
-const maxDepth = 32
+const (
+	// maxDepth is the maximum nesting depth of a decoded message.
+	maxDepth = 32
+	// maxEntries is the maximum number of entries of a list or an object in a message. The longest list is that of the
+	// files in a change of the configuration. It is checked before anything is decoded.
+	maxEntries = 4096
+)
 
 // checkRepeatedKeys returns an error if an object anywhere in the JSON value has the same key twice.
 // encoding/json would accept such an object silently.
@@ -92,6 +97,9 @@
 func walkObject(dec *json.Decoder, depth int) error {
 	seen := map[string]bool{}
 	for dec.More() {
+		if len(seen) == maxEntries {
+			return invalid("", "an object has more than %d entries", maxEntries)
+		}
 		tok, err := dec.Token()
 		if err != nil {
 			return fmt.Errorf("%w: malformed JSON: %w", ErrInvalid, err)
@@ -109,7 +117,10 @@
 }
 
 func walkArray(dec *json.Decoder, depth int) error {
-	for dec.More() {
+	for n := 0; dec.More(); n++ {
+		if n == maxEntries {
+			return invalid("", "a list has more than %d entries", maxEntries)
+		}
 		if err := walkValue(dec, depth+1); err != nil {
 			return err
 		}
