guard: cheaper accounting of the nodes' messages, and a bound on slow ones

A timer and a context for each call cost a unary call among nodes 43 allocations more. Slow senders are now found by looking at the connections every 2 s: one that has an unfinished message and has finished none for 15 s is closed. Addresses are formatted once for each connection.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -33,8 +33,8 @@
 	"greengageline/internal/worker"
 )
 
-// reportInterval is how often refused clients are looked for.
-const reportInterval = 2 * time.Second
+// watchInterval is the time between two looks at refused and slow clients.
+const watchInterval = 2 * time.Second
 
 // LogWriter is the destination of a node's log lines.
 type LogWriter struct{ io.Writer }
@@ -209,7 +209,7 @@
 	p.rpc = peer.NewServer(&p.ports.Peers, p.Node.Handlers())
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	go p.reportClients(ctx)
+	go p.watchClients(ctx)
 	go func() { p.failed <- p.app.Listener(callers) }()
 	go func() { p.failed <- p.rpc.Serve(peers) }()
 	go func() {
@@ -240,16 +240,16 @@
 	guard.ErrIncomplete: fiber.StatusRequestTimeout, guard.ErrNoMemory: fiber.StatusServiceUnavailable,
 }
 
-// reportClients logs which clients were refused until ctx ends.
-func (p *Process) reportClients(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
+// watchClients closes slow connections and logs which clients were refused until ctx ends.
+func (p *Process) watchClients(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.ports.Report(p.Node.Log)
+			p.ports.Tick(p.Node.Log)
 		}
 	}
 }
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -1,12 +1,15 @@
 package guard
 
 import (
+	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc/stats"
 )
 
 // Guards against large bodies that shut out ordinary requests, and against stalled bodies that keep their memory for good.
@@ -57,3 +60,57 @@
 		is.True(errors.As(err, &netErr) && netErr.Timeout()) // the others are open
 	}
 }
+
+// Guards against unfinished messages of nodes that hold memory without a bound, or for good, and against finished ones that
+// still count.
+func TestPeers(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	p := &Peers{Bytes: 1 << 20, Counters: &Counters{}}
+	l := p.Listen(inner, 10)
+	connect := func() (net.Conn, *Conn, context.Context) {
+		client, err := net.Dial("tcp4", inner.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = client.Close() })
+		server, err := l.Accept()
+		is.NoErr(err)
+		ctx := p.TagConn(t.Context(), &stats.ConnTagInfo{RemoteAddr: server.RemoteAddr()})
+		p.HandleRPC(ctx, &stats.Begin{})
+		return client, server.(*Conn), ctx
+	}
+	send := func(client net.Conn, server *Conn, n int) {
+		_, err := client.Write(make([]byte, n))
+		is.NoErr(err)
+		_, err = io.ReadFull(server, make([]byte, n))
+		is.NoErr(err)
+	}
+	isClosed := func(client net.Conn) bool {
+		_ = client.SetReadDeadline(time.Now().Add(time.Second))
+		_, err := client.Read(make([]byte, 1))
+		return errors.Is(err, io.EOF)
+	}
+	finishing, server, ctx := connect()
+	for range 5 {
+		send(finishing, server, 100<<10)
+		p.HandleRPC(ctx, &stats.InPayload{WireLength: 100 << 10})
+	}
+	is.Equal(p.Held(), int64(streamBytes))
+	send(finishing, server, 100<<10)
+	p.HandleRPC(ctx, &stats.End{})
+	is.Equal(p.Held(), int64(0))
+
+	large, server, _ := connect()
+	send(large, server, 257<<10)
+	is.True(isClosed(large)) // it has more than a quarter
+
+	slow, server, _ := connect()
+	send(slow, server, 100<<10)
+	p.CloseSlow()
+	is.True(p.Held() > 100<<10) // a message may take RequestTime
+	server.unfinished.progressAt = time.Now().Add(-2 * RequestTime)
+	p.CloseSlow()
+	is.True(isClosed(slow))
+	is.Equal(p.Held(), int64(0))
+}
--- a/internal/guard/listen.go
+++ b/internal/guard/listen.go
@@ -30,7 +30,8 @@
 	// to wait for the present request.
 	busy       atomic.Bool
 	waitsSince atomic.Int64
-	// unfinished is used for connections of other nodes only.
+	// addr, the address of the client, and unfinished are used for connections of other nodes only.
+	addr       string
 	unfinished unfinished
 }
 
--- a/internal/guard/peers.go
+++ b/internal/guard/peers.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"google.golang.org/grpc/stats"
-	"google.golang.org/grpc/tap"
 )
 
 const (
@@ -18,10 +17,12 @@
 	// forgetPerSecond is how many bytes of a connection are forgotten in a second: those of pings and window updates,
 	// which belong to no message and could not be told apart from an unfinished one.
 	forgetPerSecond = 1 << 10
+	// slackBytes is what such bytes come to between two messages.
+	slackBytes = 4 << 10
 )
 
 // Peers bounds the bytes of messages from other nodes that have not arrived in full, over all connections of a
-// Listener. It is both the stats handler and the tap of their gRPC server. gRPC itself bounds each message only.
+// Listener. It is the stats handler of their gRPC server. gRPC itself bounds each message only.
 type Peers struct {
 	// Bytes is the bound.
 	Bytes    int64
@@ -36,7 +37,8 @@
 // unfinished is what has been read on a connection and has not arrived in full; Peers.mu guards it.
 type unfinished struct {
 	bytes, streams int64
-	at             time.Time
+	// readAt is when the connection was read last, progressAt when a message or a call ended last.
+	readAt, progressAt time.Time
 }
 
 // Listen returns l with its connections watched by p.
@@ -53,15 +55,16 @@
 	if p.conns == nil {
 		p.conns = map[string]*Conn{}
 	}
-	p.conns[c.RemoteAddr().String()] = c
+	c.addr = c.RemoteAddr().String()
+	p.conns[c.addr] = c
 }
 
 // closed removes a connection.
 func (p *Peers) closed(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if addr := c.RemoteAddr().String(); p.conns[addr] == c {
-		delete(p.conns, addr)
+	if p.conns[c.addr] == c {
+		delete(p.conns, c.addr)
 		p.add(c, -c.unfinished.bytes)
 	}
 }
@@ -77,14 +80,14 @@
 func (p *Peers) read(c *Conn, n int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conns[c.RemoteAddr().String()] != c {
+	if p.conns[c.addr] != c {
 		return
 	}
 	now := time.Now()
-	if u := &c.unfinished; !u.at.IsZero() {
-		p.add(c, -int64(now.Sub(u.at).Seconds()*forgetPerSecond))
+	if u := &c.unfinished; !u.readAt.IsZero() {
+		p.add(c, -min(u.bytes-u.streams*streamBytes, int64(now.Sub(u.readAt).Seconds()*forgetPerSecond)))
 	}
-	c.unfinished.at = now
+	c.unfinished.readAt = now
 	p.add(c, n)
 	p.limit(c)
 }
@@ -105,29 +108,32 @@
 			}
 		}
 	}
-	p.Counters.Stalled.Add(1)
-	delete(p.conns, worst.RemoteAddr().String())
-	p.add(worst, -worst.unfinished.bytes)
-	go func() { _ = worst.Close() }() // Close takes mu
+	p.drop(worst)
 }
 
-// connKey and callKey are the keys of the connection and of the call in their contexts.
-type (
-	connKey struct{}
-	callKey struct{}
-)
-
-// Tap bounds the time that a message of a unary call takes to arrive.
-func (p *Peers) Tap(isStream func(method string) bool) tap.ServerInHandle {
-	return func(ctx context.Context, info *tap.Info) (context.Context, error) {
-		if isStream(info.FullMethodName) {
-			return ctx, nil
+// CloseSlow closes the connections with an unfinished message on which none has been finished for RequestTime.
+func (p *Peers) CloseSlow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		u := &c.unfinished
+		if u.streams > 0 && u.bytes > u.streams*streamBytes+slackBytes && time.Since(u.progressAt) > RequestTime {
+			p.drop(c)
 		}
-		ctx, cancel := context.WithCancel(ctx) // ends with the stream
-		return context.WithValue(ctx, callKey{}, time.AfterFunc(RequestTime, cancel)), nil
 	}
 }
 
+// drop closes a connection; the caller holds mu.
+func (p *Peers) drop(c *Conn) {
+	p.Counters.Stalled.Add(1)
+	delete(p.conns, c.addr)
+	p.add(c, -c.unfinished.bytes)
+	go func() { _ = c.Close() }() // Close takes mu
+}
+
+// connKey is the key of the connection in the contexts of its calls.
+type connKey struct{}
+
 // TagConn implements stats.Handler.
 func (p *Peers) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
 	p.mu.Lock()
@@ -143,35 +149,36 @@
 
 // HandleRPC implements stats.Handler.
 func (p *Peers) HandleRPC(ctx context.Context, s stats.RPCStats) {
-	c, _ := ctx.Value(connKey{}).(*Conn)
-	if c == nil {
+	var n int64
+	var ended bool
+	switch s := s.(type) {
+	case *stats.Begin:
+		n = streamBytes
+	case *stats.InPayload:
+		n = -int64(s.WireLength)
+	case *stats.End:
+		n, ended = -streamBytes, true
+	default:
 		return
 	}
-	stopTimer := func() {
-		if t, _ := ctx.Value(callKey{}).(*time.Timer); t != nil {
-			t.Stop()
-		}
-	}
+	c, _ := ctx.Value(connKey{}).(*Conn)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conns[c.RemoteAddr().String()] != c {
+	if c == nil || p.conns[c.addr] != c {
 		return
 	}
-	switch s := s.(type) {
-	case *stats.Begin:
-		c.unfinished.streams++
-		p.add(c, streamBytes)
-		p.limit(c)
-	case *stats.InPayload:
-		stopTimer()
-		p.add(c, -int64(s.WireLength))
-	case *stats.End:
-		stopTimer()
-		c.unfinished.streams--
-		p.add(c, -streamBytes)
-		if c.unfinished.streams == 0 {
+	p.add(c, n)
+	if n < 0 || c.unfinished.streams == 0 {
+		c.unfinished.progressAt = time.Now()
+	}
+	switch {
+	case ended:
+		if c.unfinished.streams--; c.unfinished.streams == 0 {
 			p.add(c, -c.unfinished.bytes)
 		}
+	case n > 0:
+		c.unfinished.streams++
+		p.limit(c)
 	}
 }
 
--- a/internal/guard/ports.go
+++ b/internal/guard/ports.go
@@ -18,7 +18,7 @@
 	// the first request.
 	Owns func() bool
 
-	// reported and reportedAt belong to the goroutine that calls Report.
+	// reported and reportedAt belong to the goroutine that calls Tick.
 	reported   [4]int64
 	reportedAt time.Time
 }
@@ -41,8 +41,10 @@
 // Held returns the bytes that bodies and unfinished messages hold.
 func (p *Ports) Held() int64 { return p.Bodies.Held() + p.Peers.Held() }
 
-// Report logs the clients that were refused since the last line, at most every 10 seconds.
-func (p *Ports) Report(log *event.Log) {
+// Tick closes the connections of slow nodes and logs the clients that were refused since the last line, at most every 10
+// seconds. It must be called every few seconds, by one goroutine.
+func (p *Ports) Tick(log *event.Log) {
+	p.Peers.CloseSlow()
 	c := &p.Counters
 	now := [4]int64{c.TooLarge.Load(), c.NoMemory.Load(), c.Stalled.Load(), c.Crowded.Load()}
 	if now == p.reported || time.Since(p.reportedAt) < reportInterval {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/samber/lo"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
@@ -66,8 +64,7 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	}
 	if g != nil {
-		names := lo.Map(streams, func(d grpc.StreamDesc, _ int) string { return "/" + serviceName + "/" + d.StreamName })
-		options = append(options, grpc.StatsHandler(g), grpc.InTapHandle(g.Tap(func(method string) bool { return slices.Contains(names, method) })))
+		options = append(options, grpc.StatsHandler(g))
 	}
 	s := grpc.NewServer(options...)
 	s.RegisterService(&grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil), Methods: methods, Streams: streams}, nil)
