speed: weaken what is known of a restarted worker, forget slowly

Cause: a worker that restarted under its id kept the weight of its earlier incarnation, since the record was made after the start time had been replaced; and what is known of a worker without work was gone after some ten minutes, so that a slow worker that gets little work was taken as unknown.

What changed: the weight of the record is bounded at the restart; samples lose weight over an hour, and contradicting samples still replace those before at once.

--- a/internal/speed/store_test.go
+++ b/internal/speed/store_test.go
@@ -68,22 +68,29 @@
 }
 
 // Guards against a restarted worker that is taken as unknown, or that keeps for long the speed of its earlier incarnation
-// when it no longer has it.
+// when it no longer has it, whether it was dropped in between or not.
 func TestEarlierIncarnationIsWeakPrior(t *testing.T) {
-	is := is.New(t)
-	m := learned()
-	slow := 0
-	for m.t.Factor(workerName(slow)).Factor < 1.8 {
-		slow++
+	for name, dropped := range map[string]bool{"dropped": true, "under its id": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := learned()
+			slow := 0
+			for m.t.Factor(workerName(slow)).Factor < 1.8 {
+				slow++
+			}
+			d := m.worker(slow)
+			if dropped {
+				m.t.DropWorker(d.ID)
+				is.Equal(m.t.Factor(d.ID).Factor, 1.0)
+			}
+			d.StartedMs++
+			m.t.SetWorker(d)
+			is.True(m.t.Factor(d.ID).Factor > 1.2)
+			is.Equal(m.t.workers[d.ID].evidence, float32(rebornWeight))
+			m.factors[slow] = 0.7
+			is.True(m.samplesUntil(slow, func(f float64) bool { return f < 1.2 }) <= 3)
+		})
 	}
-	d := m.worker(slow)
-	m.t.DropWorker(d.ID)
-	is.Equal(m.t.Factor(d.ID).Factor, 1.0)
-	d.StartedMs++
-	m.t.SetWorker(d)
-	is.True(m.t.Factor(d.ID).Factor > 1.2)
-	m.factors[slow] = 0.7
-	is.True(m.samplesUntil(slow, func(f float64) bool { return f < 1.2 }) <= 3)
 }
 
 // Guards against a prior by rack or kind where these do not matter, and against none where a rack is slow.
--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -121,12 +121,12 @@
 func (t *Table) SetWorker(d Worker) {
 	t.init()
 	w := t.workers[d.ID]
-	if w != nil && w.Worker == d {
-		return
-	}
 	if w != nil && d.StartedMs == 0 {
 		d.StartedMs = w.StartedMs
 	}
+	if w != nil && w.Worker == d {
+		return
+	}
 	p := t.pool(d.Pool)
 	switch {
 	case w == nil:
--- a/internal/speed/worker.go
+++ b/internal/speed/worker.go
@@ -10,7 +10,9 @@
 	// is then known to 10 %.
 	ringSize = 8
 	// forgetTime is the time in which the weight of a sample falls to 1/e.
-	forgetTime = 10 * time.Minute
+	// It is long, since a worker that gets no work tells nothing, and samples that contradict the estimate replace those
+	// before at once.
+	forgetTime = time.Hour
 	// tick is the resolution of the times of samples.
 	tick = 100 * time.Millisecond
 	// rebornWeight is the weight of what an earlier incarnation has shown, in samples.
@@ -122,7 +124,9 @@
 	if w.used == 0 {
 		return
 	}
-	w.restore(w.record(now), now)
+	r := w.record(now)
+	r.weight = min(r.weight, rebornWeight)
+	w.restore(r, now)
 }
 
 // summary returns the robust mean of the entries, their standard deviation and their total weight, at most
