speed, sched: learn from short gangs alone, and follow the center of a pool

Cause: where only looks at short gangs tell, a small pool stayed even although three of nine workers were 2.4 times as slow, or one class was placed in the middle. Workers that may differ got no further look after two samples, those of open speed were compared only with each other, and which workers differ was not decided again when the center of the pool moved.

What changed: a worker of an even pool that may differ is looked at until it has six samples; three workers of known speed are looked at with those of open speed; all workers are tallied again when the center has moved by 5 %. Samples on cold workers and away from the data have tests.

--- a/internal/leader/looks.go
+++ b/internal/leader/looks.go
@@ -30,6 +30,7 @@
 		return
 	}
 	s.o.looksLeft--
+	s.o.looksSent++
 	s.sendHold(0)
 }
 
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -100,6 +100,7 @@
 	listed      bool          // the workers' entries have been read
 	probesLeft  int           // holds that may still be sent to silent workers in this tick
 	looksLeft   int           // looks at workers that may still be sent in this tick
+	looksSent   int64         // looks at workers that were sent
 	listOK      bool          // the workers' entries could be read last time
 	listOKSince time.Duration // when the entries became readable again
 	rebuilt     atomic.Bool   // the stored state has been read; any goroutine may read it
--- a/internal/leader/speeds_test.go
+++ b/internal/leader/speeds_test.go
@@ -39,6 +39,32 @@
 	return sim, nodes, old, stop
 }
 
+// Guards against an owner that never learns from gangs that end before the usual hold is answered: only looks tell their
+// progress, and they end once the speeds are known.
+func TestShortGangsAreLookedAt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sim, nodes, stop := startSimulation(9, 1)
+		defer stop()
+		for i := range 9 {
+			sim.worker(fmt.Sprintf("w%d", i)).runTime.set([]time.Duration{1700 * time.Millisecond, 700 * time.Millisecond}[min(i/3, 1)])
+		}
+		var looks []int64
+		for i := range 40 {
+			step := model.Step{Tasks: 9, Gang: true, EstimateMs: 1000, Each: model.Room{Millicores: 40000, MemoryMB: 1000, Accelerators: 1}}
+			sim.submit(fmt.Sprintf("job%d", i), "bulk", step)
+			time.Sleep(2 * time.Second)
+			o := nodes[0].LocalOwner()
+			o.postAndWait(context.Background(), func() { looks = append(looks, o.looksSent) })
+		}
+		t.Logf("looks by time: %v", looks)
+		is.True(factorAt(nodes[0].LocalOwner(), "w1").Factor > 1.8)
+		is.True(factorAt(nodes[0].LocalOwner(), "w5").Factor < 1.2)
+		is.True(looks[39] > 0 && looks[39] <= 60)
+		is.Equal(looks[39], looks[25])
+	})
+}
+
 // newOwnerOf waits for an owner other than old that has read the stored state.
 func newOwnerOf(nodes []*testNode, old *testNode) *Owner {
 	for {
--- a/internal/sched/speeds.go
+++ b/internal/sched/speeds.go
@@ -25,8 +25,8 @@
 	// which that is done at the latest.
 	lookDelay = 500 * time.Millisecond
 	lookPart  = 0.25
-	// minCompared is the number of workers of a gang that are looked at, if there are so many, so that those whose speed
-	// is open are compared with others.
+	// minCompared is the number of workers of known speed that are looked at with those of a gang whose speed is open. If
+	// these were compared only with each other, all could be slow and none would show.
 	minCompared = 3
 	// maxEvenLooks bounds the looks at a gang while no worker of the pool is known to differ.
 	maxEvenLooks = 6
@@ -183,9 +183,10 @@
 		most[true] = maxEvenLooks
 	}
 	add := func(open bool) {
+		begin := len(e.looks)
 		for i := range b.Tasks {
 			id := b.Tasks[i].Worker
-			if e.Speeds.Wants(id) != open || len(e.looks)-first >= most[open] {
+			if e.Speeds.Wants(id) != open || len(e.looks)-begin >= most[open] {
 				continue
 			}
 			known := false
--- a/internal/sched/speeds_test.go
+++ b/internal/sched/speeds_test.go
@@ -87,6 +87,7 @@
 // sampleTask places a job of a step on workers of two racks and returns a report of a task's progress at a time.
 func sampleTask(step model.Step, checkpoint string) (e *Engine, report func(task, percent int, at time.Duration)) {
 	e = newEngine(8)
+	e.Limits.NoRackWait = true
 	j := add(e, "job", "bulk", step)
 	for i := range j.Batches[0][0].Tasks {
 		j.Batches[0][0].Tasks[i].Checkpoint = checkpoint
@@ -102,16 +103,19 @@
 }
 
 // Guards against samples of runs whose time does not tell the speed of their worker: gangs before all members are there,
-// members that wait at 100 %, resumed runs whose start does not tell their progress, and reports after silence.
+// members that wait at 100 %, resumed runs whose start does not tell their progress, reports after silence, runs on cold
+// workers, and runs away from their data without others of their kind.
 func TestOnlyUndisturbedRunsAreSampled(t *testing.T) {
 	single := model.Step{Tasks: 1, EstimateMs: 2000, Each: model.Room{Millicores: 1000, MemoryMB: 1000, Accelerators: 1}}
+	away := single
+	away.DataRack = "elsewhere"
 	type report struct {
 		task, percent int
 		at            time.Duration
 	}
 	for name, c := range map[string]struct {
 		step       model.Step
-		checkpoint string
+		checkpoint string // "cold" stands for a cold worker
 		reports    []report
 		want       int
 	}{
@@ -120,6 +124,8 @@
 		"too early":            {single, "", []report{{0, 0, 0}, {0, 2, 50 * time.Millisecond}}, 0},
 		"resumed":              {single, "c", []report{{0, 0, 0}, {0, 40, 600 * time.Millisecond}}, 0},
 		"resumed, two reports": {single, "c", []report{{0, 0, 0}, {0, 40, 600 * time.Millisecond}, {0, 70, 1200 * time.Millisecond}}, 1},
+		"away from its data":   {away, "", []report{{0, 0, 0}, {0, 30, 600 * time.Millisecond}}, 0},
+		"cold":                 {single, "cold", []report{{0, 0, 0}, {0, 30, 600 * time.Millisecond}, {0, 60, 1200 * time.Millisecond}}, 0},
 		"after silence":        {single, "", []report{{0, 0, 0}, {0, 30, 4 * time.Second}}, 0},
 		"gang not complete":    {gangStep(2, 8), "", []report{{0, 0, 0}, {0, 30, 600 * time.Millisecond}}, 0},
 		"gang":                 {gangStep(2, 8), "", []report{{0, 0, 0}, {1, 0, 100 * time.Millisecond}, {0, 30, 600 * time.Millisecond}, {1, 30, 600 * time.Millisecond}}, 2},
@@ -128,6 +134,12 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			e, tell := sampleTask(c.step, c.checkpoint)
+			is.Equal(e.Stats(moment(0)).Placed, c.step.Tasks)
+			for _, id := range e.Workers() {
+				w := e.workers[id].Worker
+				w.Cold = c.checkpoint == "cold"
+				e.SetWorker(w)
+			}
 			for _, r := range c.reports {
 				tell(r.task, r.percent, r.at)
 			}
--- a/internal/speed/pool.go
+++ b/internal/speed/pool.go
@@ -35,7 +35,9 @@
 	sampled int     // workers with two samples or more
 	// center is the logarithm of the median factor.
 	center float64
-	uneven bool
+	// tallied is the center by which it was decided which workers differ.
+	tallied float64
+	uneven  bool
 	// differing and surely count the workers that differ, and those of them that do so surely.
 	differing, surely int
 	// noise is the standard deviation of the logarithm of the times of like runs on one worker.
@@ -234,4 +236,20 @@
 	if !p.uneven && math.Abs(p.center) < binWidth {
 		p.center = 0
 	}
+	if math.Abs(p.center-p.tallied) > binWidth/2 {
+		p.tallied = p.center
+		p.tallyAll()
+	}
+}
+
+// tallyAll decides again which workers differ, after the center has moved.
+func (p *pool) tallyAll() {
+	for _, w := range p.workers {
+		w.differs = 1 - w.post.massNear(p.center, differs)
+		if w.used > 0 {
+			p.tally(w, w.tally())
+			w.class = w.classify(w.class)
+		}
+	}
+	p.judge()
 }
--- a/internal/speed/table.go
+++ b/internal/speed/table.go
@@ -228,6 +228,10 @@
 	// wantedWorkers is how many workers of an even pool are to have two samples before no more looks are needed there.
 	// If a tenth of the pool differs, 25 workers have two or three such workers.
 	wantedWorkers = 25
+	// suspectMass is the probability that a worker of an even pool differs from which it is looked at until it has
+	// maxSuspected samples, since nobody else may ever tell.
+	suspectMass  = 0.1
+	maxSuspected = 6
 	// settledMass is the posterior probability of a speed within openWidth of the mean from which a worker's speed is settled.
 	settledMass = 0.9
 )
@@ -239,7 +243,7 @@
 		return false
 	}
 	if !w.pool.uneven {
-		return w.evidence < minEvidence && w.pool.sampled < wantedWorkers
+		return w.evidence < minEvidence && w.pool.sampled < wantedWorkers || w.differs > suspectMass && w.used > 0 && w.evidence < maxSuspected
 	}
 	return w.evidence < 0.5 || w.evidence < maxWanted && w.settled < settledMass
 }
