guard, params: tests of the bounds, and of a port that is used again

The bytes of a connection whose client had closed it and used its port again before the server had noticed stayed counted for good. TestLimits guards against bounds that ordinary clients meet on the smallest VM or that exceed it together.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -114,3 +114,18 @@
 	is.True(isClosed(slow))
 	is.Equal(p.Held(), int64(0))
 }
+
+// Guards against bounds that ordinary clients meet on the smallest VM, against bounds that exceed it together, and against
+// none where a limit is not given.
+func TestLimits(t *testing.T) {
+	for name, l := range map[string]Limits{"smallest VM": {MemoryMB: 144, MaxFds: 3075}, "not given": {}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(l.CallerConns() >= 256 && l.PeerConns() >= 128)
+			is.True(l.Bodies(true) >= 4<<20 && l.Bodies(false) > l.Bodies(true))
+			all := float64(l.Bodies(false)+l.PeerBytes()) + float64(l.CallerConns()*connBytes+l.PeerConns()*peerConnBytes)
+			is.True(all <= l.memory()/2)
+			is.True(float64(l.CallerConns()+l.PeerConns()+ReadinessConns) <= l.fds()/2)
+		})
+	}
+}
--- a/internal/guard/peers.go
+++ b/internal/guard/peers.go
@@ -56,6 +56,9 @@
 		p.conns = map[string]*Conn{}
 	}
 	c.addr = c.RemoteAddr().String()
+	if old := p.conns[c.addr]; old != nil { // its client has closed it and uses the port again
+		p.add(old, -old.unfinished.bytes)
+	}
 	p.conns[c.addr] = c
 }
 
