guard: one connection of a node may hold half of what all may

A quarter was near what 256 calls in progress on a connection count (2.1 of 2.4 MB on a VM of 144 MB), so that a busy node could have met it.

--- a/internal/guard/peers.go
+++ b/internal/guard/peers.go
@@ -12,8 +12,9 @@
 const (
 	// streamBytes is what an open stream counts beside its messages: a goroutine and the stream's state.
 	streamBytes = 8 << 10
-	// connShare is the part of the bound that the messages of one connection may take.
-	connShare = 0.25
+	// connShare is the part of the bound that the messages of one connection may take. On the smallest VM, of 144 MB, it
+	// is twice what the most calls that a connection may have count.
+	connShare = 0.5
 	// forgetPerSecond is how many bytes of a connection are forgotten in a second: those of pings and window updates,
 	// which belong to no message and could not be told apart from an unfinished one.
 	forgetPerSecond = 1 << 10
