--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -544,7 +544,7 @@
 		}
 		g.batch.unmeasured = g.batch.unmeasured || checkpoint != ""
 		e.orders = append(e.orders, Order{
-			Task: ref, Run: t.Run, Worker: t.Worker, Checkpoint: checkpoint, Ticket: g.batch.advice.ticket(t.Worker), Reason: g.reason(),
+			Task: ref, Run: t.Run, Worker: t.Worker, Checkpoint: checkpoint, Ticket: g.batch.advice.ticket(t.Worker), Reason: g.reason(placement[pos]),
 			Queue: g.queue.Name, Priority: g.queue.Priority, PlacedAt: now.Steady,
 		})
 	}
@@ -554,8 +554,8 @@
 	e.changedJobs[g.ref.Job] = true
 }
 
-// reason returns the reason for starting the group, for the log.
-func (g *group) reason() string {
+// reason returns the reason for starting a task of the group on the worker, for the log.
+func (g *group) reason(w *worker) string {
 	switch {
 	case g.moved:
 		return "in time on a faster worker"
@@ -567,6 +567,8 @@
 		return "within its workspace's guarantee"
 	case g.lateness == tooLate:
 		return "free room that no work in time needs"
+	case g.fit.uneven && g.fit.tier(w.speed, g.step.Gang) == tooSlow:
+		return "free room, on a worker too slow for its goal"
 	}
 	return "free room"
 }
