--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -13,7 +13,7 @@
 type Engine struct {
 	// Limits are the engine's settings; zero fields mean the defaults.
 	Limits Limits
-	// Speeds holds the estimates of how fast the workers are.
+	// Speeds estimates how fast the workers are.
 	Speeds speed.Table
 
 	plan          model.Plan
@@ -54,6 +54,20 @@
 	claims   map[shape]bool
 	// poolClaims has the rank of the first group for which all workers of a pool are claimed, by pool, in the present pass.
 	poolClaims map[string]int
+	// speedsAt is when the speeds of the workers were last read; 0 if that is due. uneven has the pools whose workers differ
+	// in speed, and fastest the factor of the fastest worker of each of them.
+	speedsAt time.Duration
+	uneven   map[string]bool
+	fastest  map[string]float64
+	// urgentLimits has the largest factor with which urgent work is in time, by uneven pool.
+	urgentLimits map[string]float64
+	// estimateErrors has the errors of the estimates of steps, by queue.
+	estimateErrors map[string]*estimateErrors
+	// movedAt is when a pass last looked for runs to move.
+	movedAt time.Duration
+	// speedOf and paceOf replace Speeds in tests, if they are set.
+	speedOf func(worker string) speed.Estimate
+	paceOf  func(queue string) float64
 	// lastUrgentAt is when a pass last saw an urgent job that had not ended.
 	lastUrgentAt time.Duration
 	// lastStallCheck is when runs were last checked for progress.
@@ -69,21 +83,6 @@
 	// nextQuestionAt is the earliest time of the next question to the adviser after one has failed;
 	// questionBackoff is the last backoff.
 	nextQuestionAt, questionBackoff time.Duration
-	// speedOf replaces Speeds in tests, if it is set.
-	speedOf func(worker string) speed.Estimate
-	// paceOf returns the pace of a queue, as typicalPace does; nil means that none is known.
-	paceOf func(queue string) float64
-	// speedsAt is when the speeds of the workers were last read. uneven has the pools whose workers differ in speed, and
-	// fastest the factor of the fastest worker of each of them.
-	speedsAt time.Duration
-	// movedAt is when a pass last looked for runs to move.
-	movedAt time.Duration
-	uneven  map[string]bool
-	fastest map[string]float64
-	// urgentLimits has the largest factor with which urgent work is in time, by uneven pool.
-	urgentLimits map[string]float64
-	// estimateErrors has the errors of the estimates of steps, by queue.
-	estimateErrors map[string]*estimateErrors
 }
 
 // Limits are the settings of an Engine that depend on its owner and its deployment.
@@ -212,6 +211,7 @@
 	if old == nil {
 		old = &worker{tasks: map[TaskRef]*Task{}}
 		e.workers[w.ID] = old
+		e.speedsAt = 0
 		at, _ := slices.BinarySearchFunc(e.sortedWorkers, w.ID, func(x *worker, id string) int {
 			switch {
 			case x.ID < id:
@@ -227,9 +227,6 @@
 		e.racks = nil
 	}
 	old.Worker = w
-	if e.uneven[w.Pool] {
-		old.speed = newWorkerSpeed(e.estimateOf(w.ID))
-	}
 }
 
 // DropWorker removes a worker; the runs placed on it end as Lost.
--- a/internal/sched/fit_test.go
+++ b/internal/sched/fit_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"hash/fnv"
 	"maps"
 	"math/rand/v2"
@@ -20,13 +21,13 @@
 		return speed.Estimate{Factor: 1, Low: 1, High: 1}
 	}
 	if s.medianFactor == 0 {
-		all := slices.Sorted(maps.Values(s.factors))
-		s.medianFactor = all[len(all)/2]
+		all := slices.Sorted(maps.Values(s.speeds))
+		s.medianFactor = append(all, 1)[len(all)/2]
 	}
 	if s.e.paceOf == nil {
 		s.e.paceOf = func(string) float64 { return s.medianFactor }
 	}
-	f := s.factors[worker] / s.medianFactor
+	f := cmp.Or(s.speeds[worker], 1) / s.medianFactor
 	return speed.Estimate{Factor: f, Low: 0.95 * f, High: 1.05 * f, Samples: 20}
 }
 
@@ -126,7 +127,7 @@
 	for name, pattern := range speedPatterns() {
 		t.Run(name, func(t *testing.T) {
 			l, net := unevenLoad(), map[bool]float64{}
-			l.speeds = pattern
+			l.speedOf = pattern
 			for _, l.known = range []bool{false, true} {
 				worth, byKind, lost := worthOf(l, 3)
 				net[l.known] = worth - lost
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -148,11 +148,11 @@
 		}),
 		"roster": rosterLoad(),
 		"uneven": unevenLoad().with(func(l *load) {
-			l.speeds, l.known, l.bursts = randomSpeeds(1.0/3, 1.7, 0.7), true, []burst{urgent}
+			l.speedOf, l.known, l.bursts = randomSpeeds(1.0/3, 1.7, 0.7), true, []burst{urgent}
 			l.knownFrom, l.failing, l.faultFrom, l.faultFor = 5*time.Second, []int{3, 9, 17, 30}, 5*time.Second, 7*time.Second
 		}),
 		"uneven, advised": unevenLoad().with(func(l *load) {
-			l.speeds, l.known = randomSpeeds(0.5, 1.7, 0.7), true
+			l.speedOf, l.known = randomSpeeds(0.5, 1.7, 0.7), true
 			requireAdviser(l, 0.5, 3000)
 		}),
 		"visits":       manyCoresLoad(),
@@ -263,7 +263,7 @@
 
 // BenchmarkPassUneven reports the cost of a pass if a third of the workers are slow.
 func BenchmarkPassUneven(b *testing.B) {
-	benchmarkPass(b, largeLoad().with(func(l *load) { l.speeds, l.known = randomSpeeds(1.0/3, 1.7, 0.7), true }))
+	benchmarkPass(b, largeLoad().with(func(l *load) { l.speedOf, l.known = randomSpeeds(1.0/3, 1.7, 0.7), true }))
 }
 
 func benchmarkPass(b *testing.B, l load) {
--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -33,7 +33,12 @@
 
 // load is a simulated deployment with its traffic.
 type load struct {
-	name     string
+	name string
+	// The engine is told the speeds of the workers from knownFrom on if known is set.
+	known     bool
+	knownFrom time.Duration
+	// tail is the fraction of tasks that take seven times as long as the others of their step.
+	tail     float64
 	workers  int
 	rackSize int
 	room     model.Room
@@ -58,13 +63,8 @@
 	failAdvice int
 	// startRate is how many starts a second the owner can send; 0 means any number.
 	startRate float64
-	// speeds returns how many times as long a task takes on the worker of an index; nil means 1. The engine is told
-	// from knownFrom on if known is set.
-	speeds    func(i int) float64
-	known     bool
-	knownFrom time.Duration
-	// tail is the fraction of tasks that take seven times as long as the others of their step.
-	tail float64
+	// speedOf returns how many times as long tasks take on the i-th worker; nil means that all are alike.
+	speedOf func(i int) float64
 }
 
 // burst multiplies the arrival rate of a kind by factor.
@@ -126,12 +126,14 @@
 	used         map[string]model.Room
 	room         map[string]model.Room
 	racks        map[string]string
+	speeds       map[string]float64 // by worker, if they differ
 	jobs         map[string]*Job
 	kindOf       map[string]int
 	done         map[TaskRef]bool
 	failureCount map[TaskRef]int
 	violations   []string
 
+	medianFactor    float64 // of the workers, once the engine is told the speeds
 	offered, earned float64
 	earnedByKind    []float64
 	offeredByKind   []float64
@@ -143,14 +145,12 @@
 	firstWait       map[string]time.Duration
 	// tickets maps each ticket to the time until which it is valid. adviserAt is when the adviser has
 	// answered all questions so far; questions counts them.
-	factors   map[string]float64 // how many times as long a task takes, by worker
 	tickets   map[string]time.Duration
 	adviserAt time.Duration
 	questions int
 	// startsLeft is how many starts the owner can send now, as of startsAt.
-	startsLeft   float64
-	startsAt     time.Duration
-	medianFactor float64
+	startsLeft float64
+	startsAt   time.Duration
 	// onOrder is called for each order, if it is set.
 	onOrder func(Order)
 }
@@ -158,10 +158,10 @@
 func newSim(l load, seed uint64) *sim {
 	s := &sim{
 		load: l, seed: seed, runs: map[TaskRef]*simRun{}, used: map[string]model.Room{},
-		room: map[string]model.Room{}, racks: map[string]string{}, jobs: map[string]*Job{}, kindOf: map[string]int{},
+		room: map[string]model.Room{}, racks: map[string]string{}, speeds: map[string]float64{}, jobs: map[string]*Job{}, kindOf: map[string]int{},
 		done: map[TaskRef]bool{}, failureCount: map[TaskRef]int{}, earnedByKind: make([]float64, len(l.kinds)),
 		offeredByKind: make([]float64, len(l.kinds)), submitted: make([]int, len(l.kinds)), lostByKind: make([]float64, len(l.kinds)), firstWait: map[string]time.Duration{},
-		tickets: map[string]time.Duration{}, factors: map[string]float64{},
+		tickets: map[string]time.Duration{},
 	}
 	for i := range l.kinds {
 		l.kinds[i].queue.Advice = l.advice
@@ -170,6 +170,9 @@
 		s.kindRands = append(s.kindRands, rand.New(rand.NewPCG(seed, uint64(i))))
 	}
 	s.e.Limits = Limits{SpreadFactor: l.spreadFactor}
+	if l.known {
+		s.e.speedOf = s.estimate
+	}
 	p := model.Plan{Version: 1, Spaces: l.spaces}
 	for _, k := range l.kinds {
 		p.Queues = append(p.Queues, k.queue)
@@ -178,15 +181,12 @@
 	for i := range l.workers {
 		id := fmt.Sprintf("w%03d", i)
 		rack := fmt.Sprintf("r%d", i/l.rackSize)
-		s.room[id], s.racks[id], s.factors[id] = l.room, rack, 1
-		if l.speeds != nil {
-			s.factors[id] = l.speeds(i)
+		s.room[id], s.racks[id] = l.room, rack
+		if l.speedOf != nil {
+			s.speeds[id] = l.speedOf(i)
 		}
 		s.e.SetWorker(Worker{ID: id, Pool: "p", Rack: rack, Labels: []string{"a", rack}, Room: l.room})
 	}
-	if l.known {
-		s.e.speedOf = s.estimate
-	}
 	return s
 }
 
@@ -438,10 +438,14 @@
 	}
 	k := s.kinds[s.kindOf[o.Task.Job]]
 	draw := s.draw(o.Task)
-	ms := k.meanMs * (0.8 + 0.4*draw.Float64()) * s.factors[o.Worker] * s.misjudged(o.Task)
+	ms := k.meanMs * (0.8 + 0.4*draw.Float64())
+	if f := s.speeds[o.Worker]; f > 0 {
+		ms *= f
+	}
 	if s.isFaulty(o.Worker, s.slow) {
 		ms *= s.slowBy
 	}
+	ms *= s.misjudged(o.Task)
 	if s.isFaulty(o.Worker, s.hung) {
 		ms = math.Inf(1)
 	}
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -85,15 +85,15 @@
 	endedAt     time.Duration // when the last run ended; 0 if none has
 	// isolated is set for a run that has its worker to itself. survived is the longest time for which a
 	// worker had a run of the task before it crashed.
-	isolated    bool
-	survived    time.Duration
+	isolated bool
+	survived time.Duration
+	// moved is set once a run of the task was moved to a faster worker, whose speed class was then movedClass.
+	moved       bool
+	movedClass  int
 	progressAt  time.Duration // when percent last changed or the run was confirmed
 	failedOn    string        // worker of the last failed run
 	avoidWorker string        // worker that would refuse the gang's present run
 	reservedOn  string        // worker on which capacity is reserved for the task
-	// moved is set once a run of the task was moved to a faster worker, whose speed class was then movedClass.
-	moved      bool
-	movedClass int
 }
 
 // Batch is the state of one step in one occurrence of a job: all tasks of that step.
@@ -119,17 +119,17 @@
 	reservedAt time.Duration
 	readyAt    time.Duration
 	ready      bool
-	// suspectsWaitFrom is since when suspects among the tasks wait; 0 if none do.
-	suspectsWaitFrom time.Duration
-	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
-	waitReason     WaitReason
-	waitReportedAt time.Duration
 	// moving is set while capacity is reserved for runs that are moved to faster workers.
 	moving bool
 	// slowestRun is the longest time that a run of the batch took, as a multiple of what the estimate and the speed of its
 	// worker let expect. unmeasured is set if it does not hold for all of the batch's work.
 	slowestRun float64
 	unmeasured bool
+	// suspectsWaitFrom is since when suspects among the tasks wait; 0 if none do.
+	suspectsWaitFrom time.Duration
+	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
+	waitReason     WaitReason
+	waitReportedAt time.Duration
 }
 
 // State is a job's state as its caller sees it.
