--- a/internal/sched/fit_test.go
+++ b/internal/sched/fit_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"hash/fnv"
 	"maps"
 	"math/rand/v2"
@@ -20,13 +21,13 @@
 		return speed.Estimate{Factor: 1, Low: 1, High: 1}
 	}
 	if s.medianFactor == 0 {
-		all := slices.Sorted(maps.Values(s.factors))
-		s.medianFactor = all[len(all)/2]
+		all := slices.Sorted(maps.Values(s.speeds))
+		s.medianFactor = append(all, 1)[len(all)/2]
 	}
 	if s.e.paceOf == nil {
 		s.e.paceOf = func(string) float64 { return s.medianFactor }
 	}
-	f := s.factors[worker] / s.medianFactor
+	f := cmp.Or(s.speeds[worker], 1) / s.medianFactor
 	return speed.Estimate{Factor: f, Low: 0.95 * f, High: 1.05 * f, Samples: 20}
 }
 
@@ -131,7 +132,7 @@
 			net := map[string]float64{}
 			for arm, set := range arms {
 				l := unevenLoad().with(set)
-				l.speeds = pattern
+				l.speedOf = pattern
 				worth, byKind, lost := worthOf(l, 3)
 				net[arm] = worth - lost
 				t.Logf("speeds %s: worth %.3f, by queue %.3f, lost work %.4f", arm, worth, byKind, lost)
--- a/internal/sched/speeds_test.go
+++ b/internal/sched/speeds_test.go
@@ -29,7 +29,7 @@
 // wrongFactors counts the workers whose factor is off by more than 30 % after all are scaled alike.
 func (s *sim) wrongFactors() int {
 	var off []float64
-	for id, f := range s.factors {
+	for id, f := range s.speeds {
 		off = append(off, math.Log(s.e.Speeds.Factor(id).Factor/f))
 	}
 	middle, n := slices.Sorted(slices.Values(off))[len(off)/2], 0
@@ -46,7 +46,7 @@
 func TestSpeedsAreLearnedUnderLoad(t *testing.T) {
 	is := is.New(t)
 	l := baseLoad()
-	l.speeds = func(i int) float64 { return []float64{1.7, 0.7, 0.7}[i*7%3] }
+	l.speedOf = func(i int) float64 { return []float64{1.7, 0.7, 0.7}[i*7%3] }
 	s := newSim(l, 1)
 	wrong := map[time.Duration]int{}
 	for _, at := range []time.Duration{15 * time.Second, 30 * time.Second, 60 * time.Second} {
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -85,16 +85,16 @@
 	endedAt     time.Duration // when the last run ended; 0 if none has
 	// isolated is set for a run that has its worker to itself. survived is the longest time for which a
 	// worker had a run of the task before it crashed.
-	isolated    bool
-	survived    time.Duration
+	isolated bool
+	survived time.Duration
+	// moved is set once a run of the task was moved to a faster worker, whose speed class was then movedClass.
+	moved       bool
+	movedClass  int
 	progressAt  time.Duration // when percent last changed or the run was confirmed
 	failedOn    string        // worker of the last failed run
 	avoidWorker string        // worker that would refuse the gang's present run
 	reservedOn  string        // worker on which capacity is reserved for the task
 	pace        pace
-	// moved is set once a run of the task was moved to a faster worker, whose speed class was then movedClass.
-	moved      bool
-	movedClass int
 }
 
 // Batch is the state of one step in one occurrence of a job: all tasks of that step.
@@ -122,6 +122,10 @@
 	moving  moveCause
 	readyAt time.Duration
 	ready   bool
+	// slowestRun is the longest time that a run of the batch took, as a multiple of what the estimate and the speed of its
+	// worker let expect. unmeasured is set if it does not hold for all of the batch's work.
+	slowestRun float64
+	unmeasured bool
 	// suspectsWaitFrom is since when suspects among the tasks wait; 0 if none do.
 	suspectsWaitFrom time.Duration
 	// waitReason is why tasks of the batch wait, as last reported at waitReportedAt.
@@ -130,10 +134,6 @@
 	// members tells when the members of a gang's run began to work. speedKeys has the names of the step in Engine.Speeds.
 	members   members
 	speedKeys [2]string
-	// slowestRun is the longest time that a run of the batch took, as a multiple of what the estimate and the speed of its
-	// worker let expect. unmeasured is set if it does not hold for all of the batch's work.
-	slowestRun float64
-	unmeasured bool
 }
 
 // State is a job's state as its caller sees it.
