sched, speed: runs on several racks are compared with their like, and sudden slowness is soon forgotten

Cause: a gang that started again on several racks was compared with its first run on one rack, so its workers seemed to be three times as slow. A worker that turned slow for some seconds counted as slow long after, since it got too few runs to show otherwise. Change: such runs have a step name of their own; the samples of a worker that has turned slow lose their weight within 5 s for 30 s.

--- a/internal/sched/speeds.go
+++ b/internal/sched/speeds.go
@@ -133,15 +133,16 @@
 		estimate = 0
 	}
 	e.Speeds.Observe(speed.Sample{
-		Worker: t.Worker, Step: b.speedKey(ref, away), Queue: j.Work.Queue.Name, Task: ref.Task,
+		Worker: t.Worker, Step: b.speedKey(ref, away || step.Gang && b.members.spread), Queue: j.Work.Queue.Name, Task: ref.Task,
 		Estimate: estimate, Ran: ran, Percent: done, Ended: ended, At: now.Steady,
 	})
 }
 
-// speedKey returns the name of the step for the table of speeds.
-func (b *Batch) speedKey(ref TaskRef, away bool) string {
+// speedKey returns the name of the step for the table of speeds. Runs that are slower because of their racks have a name
+// of their own, so that they are not compared with others of the step: a gang may start again on several racks.
+func (b *Batch) speedKey(ref TaskRef, slower bool) string {
 	i, suffix := 0, ""
-	if away {
+	if slower {
 		i, suffix = 1, "/away"
 	}
 	if b.speedKeys[i] == "" {
--- a/internal/speed/pool.go
+++ b/internal/speed/pool.go
@@ -142,7 +142,7 @@
 		w.evidence = 0
 		for i := range w.used {
 			e := &w.ring[i]
-			weight := e.weight * e.fresh(t.now)
+			weight := e.weight * w.fresh(e, t.now)
 			w.evidence += weight
 			w.post.addSample(e.z, e.sd, weight)
 		}
--- a/internal/speed/worker.go
+++ b/internal/speed/worker.go
@@ -13,6 +13,10 @@
 	// It is long, since a worker that gets no work tells nothing, and samples that contradict the estimate replace those
 	// before at once.
 	forgetTime = time.Hour
+	// turnedForgetTime is the same for a worker that has turned slow less than turnedTime ago. Most of these are back at
+	// their usual speed within seconds, and get too few runs to show it.
+	turnedForgetTime = 5 * time.Second
+	turnedTime       = 30 * time.Second
 	// tick is the resolution of the times of samples.
 	tick = 100 * time.Millisecond
 	// rebornWeight is the weight of what an earlier incarnation has shown, in samples.
@@ -58,10 +62,12 @@
 	counted, inSampled bool
 	mean, variance     float64
 	evidence           float32 // weight of the samples
-	settled            float64 // probability of a speed near the mean
-	differs            float64 // probability of a speed that differs from the typical one
-	class, noted       Class   // by the estimate; as last recorded
-	tallied            tally
+	// turnedAt is when the latest samples showed that the worker has turned slow, in ticks; 0 if they have not.
+	turnedAt     uint32
+	settled      float64 // probability of a speed near the mean
+	differs      float64 // probability of a speed that differs from the typical one
+	class, noted Class   // by the estimate; as last recorded
+	tallied      tally
 	// storedMean, storedWeight and storedClass are what counts as stored.
 	storedMean   float64
 	storedWeight float32
@@ -138,7 +144,7 @@
 		if math.Abs(float64(e.z)-w.mean) > deviation*float64(e.sd)+openWidth && w.used > 2 {
 			continue
 		}
-		a := e.weight * e.fresh(now)
+		a := e.weight * w.fresh(e, now)
 		p := a / (e.sd * e.sd)
 		sum, precision, weight = sum+p*e.z, precision+p, weight+a
 	}
@@ -149,12 +155,16 @@
 }
 
 // fresh returns the part of an entry's weight that is not forgotten.
-func (e *entry) fresh(now time.Duration) float32 {
+func (w *worker) fresh(e *entry, now time.Duration) float32 {
 	age := float64(now/tick) - float64(e.at)
 	if age <= 0 {
 		return 1
 	}
-	return float32(math.Exp(-age * tick.Seconds() / forgetTime.Seconds()))
+	forget := forgetTime
+	if w.turnedAt > 0 && now/tick < time.Duration(w.turnedAt)+turnedTime/tick {
+		forget = turnedForgetTime
+	}
+	return float32(math.Exp(-age * tick.Seconds() / forget.Seconds()))
 }
 
 // contradicted reports how many of the latest entries contradict those before; 0 if none do.
