sched: estimates follow the pace of their queue

Cause: the pace that the table of speeds has learned for a queue was not used. Change: typicalPace returns it.

--- a/internal/sched/estimates.go
+++ b/internal/sched/estimates.go
@@ -66,7 +66,7 @@
 	if e.paceOf != nil {
 		return e.paceOf(queue)
 	}
-	return 1
+	return e.Speeds.Pace(queue)
 }
 
 // noteStepEnd notes how long a run of the batch took that has ended as done, and once all of the batch has ended, adds
