sched: shorter functions for moves and shortfalls of evacuations, and a test of two zones

Cause: two functions did too much at once; no test had the other free room in a zone that is evacuated too. Change: they are split; one more case.

--- a/internal/sched/evac.go
+++ b/internal/sched/evac.go
@@ -57,24 +57,8 @@
 func (e *Engine) movesOut(now Moment) []move {
 	groups := map[*Batch]*group{}
 	for _, w := range e.sortedWorkers {
-		if w.EvacuateBy == 0 || w.Silent {
-			continue // a silent worker gets no stop
-		}
-		for ref, t := range w.tasks {
-			j, b, _ := e.find(ref)
-			if j == nil || !j.Open() || t.Stopping || !t.Confirmed || t.suspect {
-				continue
-			}
-			step := &j.Work.Steps[ref.Step]
-			if _, reserved := e.reservations[b]; reserved || b.incomplete || !step.Lasts && (!step.Resumes || t.endsBefore(w.EvacuateBy, step, now)) {
-				continue
-			}
-			g := groups[b]
-			if g == nil {
-				g = &group{job: j, ref: TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step}, batch: b, step: step, queue: e.queue(j)}
-				groups[b] = g
-			}
-			g.waiting = append(g.waiting, ref.Task)
+		if w.EvacuateBy != 0 && !w.Silent { // a silent worker gets no stop
+			e.addMovable(groups, w, now)
 		}
 	}
 	out := make([]move, 0, len(groups))
@@ -92,6 +76,29 @@
 	return out
 }
 
+// addMovable adds the runs of a worker that may move to the groups of their batches.
+func (e *Engine) addMovable(groups map[*Batch]*group, w *worker, now Moment) {
+	for ref, t := range w.tasks {
+		j, b, _ := e.find(ref)
+		if j == nil || !j.Open() || t.Stopping || !t.Confirmed || t.suspect || b.incomplete {
+			continue
+		}
+		step := &j.Work.Steps[ref.Step]
+		if !step.Lasts && (!step.Resumes || t.endsBefore(w.EvacuateBy, step, now)) {
+			continue
+		}
+		if _, reserved := e.reservations[b]; reserved {
+			continue
+		}
+		g := groups[b]
+		if g == nil {
+			g = &group{job: j, ref: TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step}, batch: b, step: step, queue: e.queue(j)}
+			groups[b] = g
+		}
+		g.waiting = append(g.waiting, ref.Task)
+	}
+}
+
 // endsBefore reports whether the run probably ends by itself before it would have to stop for an evacuation, or earlier
 // than it could restart. A move would lose work for nothing.
 func (t *Task) endsBefore(by time.Duration, step *model.Step, now Moment) bool {
--- a/internal/sched/evac_test.go
+++ b/internal/sched/evac_test.go
@@ -122,6 +122,20 @@
 		e.Pass(moment(time.Second))
 		is.Equal(len(stops(e.TakeOrders())), 0)
 	})
+	t.Run("in another evacuated zone", func(t *testing.T) {
+		is := is.New(t)
+		e := newEngine(8)
+		add(e, "b", "bulk", evacuable(4))
+		e.Pass(moment(0))
+		for _, o := range starts(e.TakeOrders()) {
+			e.Confirm(o.Task, o.Run, 10, "", moment(0))
+		}
+		for _, rack := range []string{"a", "b"} {
+			evacuateRack(e, rack, moment(5*time.Second).Steady)
+		}
+		e.Pass(moment(time.Second))
+		is.Equal(len(stops(e.TakeOrders())), 0)
+	})
 	for name, ended := range map[string]bool{"the run ends by itself": true, "the stop takes too long": false} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/sched/shortfall.go
+++ b/internal/sched/shortfall.go
@@ -66,32 +66,14 @@
 
 // gangShortfalls returns, for each workspace that has some, the gangs that only fit with the evacuated zones.
 func (e *Engine) gangShortfalls() []Shortfall {
-	fits := map[gangShape]int{} // how many members fit, or the number of members if it would not fit with all zones
+	fits := map[gangShape]int{}
 	found := map[string]*Shortfall{}
 	for _, j := range e.openJobs {
 		for k := range j.Batches {
 			for s := range j.Batches[k] {
 				step, b := &j.Work.Steps[s], &j.Batches[k][s]
-				if !step.Gang || b.ended == len(b.Tasks) {
-					continue
-				}
-				key := gangShape{e.queue(j).Pool, step.Label, step.Need(), len(b.Tasks), step.PerWorker}
-				n, known := fits[key]
-				if !known {
-					n = e.membersThatFit(key)
-					fits[key] = n
-				}
-				if n >= len(b.Tasks) {
-					continue
-				}
-				f := found[j.Work.Workspace]
-				if f == nil {
-					f = &Shortfall{Workspace: j.Work.Workspace, Gang: true}
-					found[j.Work.Workspace] = f
-				}
-				f.Gangs++
-				if need := len(b.Tasks) * step.Each.Accelerators; need > f.Accelerators {
-					f.Accelerators, f.Fits = need, n*step.Each.Accelerators
+				if step.Gang && b.ended < len(b.Tasks) {
+					e.addGangShortfall(found, fits, j, step)
 				}
 			}
 		}
@@ -99,6 +81,29 @@
 	return lo.Map(lo.Values(found), func(f *Shortfall, _ int) Shortfall { return *f })
 }
 
+// addGangShortfall adds a gang to those of its workspace, by name, if it only fits with the evacuated zones. Fits has the
+// results of membersThatFit.
+func (e *Engine) addGangShortfall(found map[string]*Shortfall, fits map[gangShape]int, j *Job, step *model.Step) {
+	key := gangShape{e.queue(j).Pool, step.Label, step.Need(), step.Tasks, step.PerWorker}
+	n, known := fits[key]
+	if !known {
+		n = e.membersThatFit(key)
+		fits[key] = n
+	}
+	if n >= step.Tasks {
+		return
+	}
+	f := found[j.Work.Workspace]
+	if f == nil {
+		f = &Shortfall{Workspace: j.Work.Workspace, Gang: true}
+		found[j.Work.Workspace] = f
+	}
+	f.Gangs++
+	if need := step.Tasks * step.Each.Accelerators; need > f.Accelerators {
+		f.Accelerators, f.Fits = need, n*step.Each.Accelerators
+	}
+}
+
 // membersThatFit returns how many members of a gang fit in the zones that are not evacuated if nothing else runs. It
 // returns all of them if the gang would not fit with the other zones either.
 func (e *Engine) membersThatFit(g gangShape) int {
