Evacuation through the product's own interface

An operator could evacuate a zone on the platform only. greengageline evacuate ZONE, with -off and a listing, now keeps the request in the product's table; all nodes read it with the head of the configuration, under the same bound of freshness. The owners of cells treat the workers of the zone as leaving and check the zone before they reserve and before the start orders. Jobs that run there stay; short requests get no targets there.

place.WorkerUp with VM.Leaving adds a worker without placing anything on it, so that no start is decided between the two events. With Host.isEvacuated always false, TestCellsStartNothingInEvacuatedZone fails.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -38,6 +38,8 @@
 	app.Post("/v1/config", a.changeConfig)
 	app.Get("/v1/config/log", a.configLog)
 	app.Get("/v1/usage/:cell", a.usage)
+	app.Get("/v1/evacuations", a.listEvacuations)
+	app.Post("/v1/evacuations", a.setEvacuation)
 	app.Post("/v1/drain", a.drain)
 }
 
--- a/internal/cell/host.go
+++ b/internal/cell/host.go
@@ -64,6 +64,9 @@
 	// Refresh reads the head of the configuration log now and reports whether the
 	// plan is as new as the head.
 	Refresh func(ctx context.Context) bool
+	// Evacuated returns the zones in which nothing may start; nil means that there are none. They are as fresh as the
+	// plan.
+	Evacuated func() map[string]bool
 	// VMs returns the cell's workers according to the platform's VM list, with those
 	// that are known to be leaving marked; it returns false before the first read.
 	VMs func(cell string) ([]model.VM, bool)
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -50,7 +50,8 @@
 	engineGeneration uint64 // configuration generation that the engine has
 	stats            atomic.Pointer[place.Stats]
 	usage            usageAccount
-	purgeAt          time.Time // when ended jobs are purged next
+	evacuated        map[string]bool // zones of the cell whose evacuation was logged
+	purgeAt          time.Time       // when ended jobs are purged next
 }
 
 // workerState is the owner's view of one worker; only the loop touches it.
@@ -58,7 +59,9 @@
 	vm      model.VM
 	listed  bool
 	leaving bool
-	lost    bool // unlisted, or silent for too long; the engine treats it as lost
+	// evacuated is set while the worker's zone is evacuated; the engine then treats it as leaving.
+	evacuated bool
+	lost      bool // unlisted, or silent for too long; the engine treats it as lost
 	// answeredAt is the time at which the last renewal that the worker answered was
 	// sent. It is the present time while there is nothing to renew.
 	answeredAt time.Time
@@ -199,6 +202,7 @@
 			o.markWorkerLost(w, "it is no longer in the VM list")
 		}
 	}
+	o.logEvacuations()
 }
 
 // updateListedWorker records a worker that is in the VM list. A worker that is known to
@@ -214,8 +218,12 @@
 	if newlyListed {
 		w.lost, w.leaving = false, false
 		w.answeredAt = time.Now()
-		o.stepEngine(place.WorkerUp{VM: vm})
+		w.evacuated = o.host.isEvacuated(vm.Zone)
+		up := vm
+		up.Leaving = up.Leaving || w.evacuated
+		o.stepEngine(place.WorkerUp{VM: up})
 	}
+	o.applyEvacuation(w)
 	if vm.Leaving {
 		o.markWorkerLeaving(w, "the VM list or a peer")
 	}
--- a/internal/cell/rebuild.go
+++ b/internal/cell/rebuild.go
@@ -134,7 +134,9 @@
 
 // reportWorkerUp tells the engine that a worker that was treated as lost answers again.
 func (o *Owner) reportWorkerUp(w *workerState) {
-	o.stepEngine(place.WorkerUp{VM: w.vm})
+	up := w.vm
+	up.Leaving = up.Leaving || w.evacuated
+	o.stepEngine(place.WorkerUp{VM: up})
 	if w.leaving {
 		o.stepEngine(place.WorkerLeaving{ID: w.vm.ID})
 	}
--- a/internal/cell/start.go
+++ b/internal/cell/start.go
@@ -27,7 +27,7 @@
 	j.attempt = int(o.epoch)*attemptsPerEpoch + j.epochAttempts
 	j.phase = phaseStarting
 	j.allRunning, j.stopReason, j.failedWorker, j.workerLost, j.startRecorded = false, "", "", false, false
-	s := &starter{o: o, entry: j.entry, decision: d, attempt: j.attempt, members: o.membersOf(d)}
+	s := &starter{o: o, entry: j.entry, decision: d, attempt: j.attempt, members: o.membersOf(d), zones: o.zonesOf(d)}
 	j.members = nil
 	for _, m := range s.members {
 		j.members = append(j.members, member{Member: m, phase: model.PhaseNone})
@@ -57,6 +57,7 @@
 	decision place.Decision
 	attempt  int
 	members  []model.Member
+	zones    []string // of the members' workers
 }
 
 // startFailed reports that no part of the attempt ran or will run.
@@ -98,6 +99,10 @@
 	}
 	o.activeStarts.Add(1)
 	defer o.activeStarts.Add(-1)
+	if s.inEvacuatedZone() {
+		o.post(startFailed{s.entry.Job.ID, s.attempt, "", s.entry, errEvacuated})
+		return
+	}
 	o.host.runHook(StepReserve, s.entry.Job.ID)
 	reservedAt := time.Now()
 	if worker, err := s.reserve(); err != nil {
@@ -194,12 +199,12 @@
 }
 
 // startMembers sends the start order to every member. If the reservations may have
-// expired during the commit, it sends nothing and reports every member as refused; the
+// expired during the commit, or a zone has been evacuated, it sends nothing and reports every member as refused; the
 // loop then stops the attempt.
 func (s *starter) startMembers(reservedAt time.Time) {
 	o := s.o
 	o.host.runHook(StepStart, s.entry.Job.ID)
-	lapsed := time.Since(reservedAt) > o.host.Settings.StartLease
+	lapsed := time.Since(reservedAt) > o.host.Settings.StartLease || s.inEvacuatedZone()
 	errs := s.forEachMember(func(ctx context.Context, m *model.Member) error {
 		if lapsed {
 			return worker.ErrRefused
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -97,7 +97,7 @@
 		FlagSet:    flag.NewFlagSet("greengageline", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			a.serve(), a.edge(), a.check(), a.config(), a.submit(), a.job(), a.workspace(),
-			a.usage(), a.node(), a.explain(), a.trace(), a.demo(), a.stand(),
+			a.usage(), a.node(), a.evacuate(), a.explain(), a.trace(), a.demo(), a.stand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -13,6 +13,7 @@
 type configSnapshot struct {
 	folder      config.Folder
 	plan        config.Plan
+	evacuated   map[string]bool
 	confirmedAt time.Time // when the read was sent that last confirmed that the plan is the newest
 }
 
@@ -49,13 +50,18 @@
 // followConfig is refresh without its result, for use as a background task.
 func (n *Node) followConfig(ctx context.Context) { n.refresh(ctx) }
 
-// refresh reads the head of the configuration and the changes since the last read, and reports
+// refresh reads the evacuated zones, the head of the configuration and the changes since the last read, and reports
 // whether that succeeded. Freshness counts from before the read was sent.
 func (n *Node) refresh(ctx context.Context) bool {
 	sentAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, n.Settings.MaxConfigAge/2)
 	defer cancel()
 	current := n.conf.load()
+	evacuated, err := n.readEvacuated(ctx)
+	if err != nil {
+		n.logStale(err)
+		return false
+	}
 	folder, err := n.Config.Refresh(ctx, current.folder)
 	if err != nil {
 		n.logStale(err)
@@ -70,7 +76,7 @@
 		}
 		n.Log.Emit(event.ConfigInForce).Uint64("generation", plan.Generation).Str("hash", plan.Hash).Send()
 	}
-	n.conf.advance(&configSnapshot{folder: folder, plan: plan, confirmedAt: sentAt})
+	n.conf.advance(&configSnapshot{folder: folder, plan: plan, evacuated: evacuated, confirmedAt: sentAt})
 	if n.conf.staleLogged.CompareAndSwap(true, false) {
 		n.Log.Emit(event.NodeFresh).Uint64("generation", plan.Generation).Send()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,7 @@
 	n.Host.Log, n.Host.Meter = n.Log, n.Meter
 	n.Host.Plan = n.plan
 	n.Host.Refresh = n.refresh
+	n.Host.Evacuated = n.evacuatedZones
 	n.Host.VMs = n.vms.cellWorkers(n)
 	n.Host.MarkWorkerLeaving = n.noteLeaving
 }
--- a/internal/node/vms.go
+++ b/internal/node/vms.go
@@ -138,7 +138,9 @@
 		names = append(names, p.Node)
 	}
 	var mine []model.VM
+	evacuated := n.evacuatedZones()
 	for _, vm := range n.vms.targets() {
+		vm.Leaving = vm.Leaving || evacuated[vm.Zone]
 		if route.Rank(vm.ID, names)[0] == n.Settings.Node {
 			mine = append(mine, vm)
 		}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -66,7 +66,7 @@
 	case WorkerUp:
 		e.workerUp(ev.VM)
 	case WorkerLeaving:
-		e.workerLeaving(ev.ID)
+		e.workerLeaving(ev.ID, ev.JobsStay)
 	case WorkerLost:
 		e.workerLost(ev.ID)
 	case Enqueue:
@@ -208,7 +208,7 @@
 	}
 	switch {
 	case w == nil:
-		e.pool.add(vm)
+		w = e.pool.add(vm)
 	case w.state == workerLost || w.state == workerLeaving:
 		w.vm = vm
 		w.failures = failureRecord{}
@@ -217,6 +217,10 @@
 		w.vm = vm
 		return
 	}
+	if vm.Leaving {
+		e.pool.setState(w, workerLeaving)
+		return
+	}
 	e.forgetFailedSearches()
 	if !e.ready {
 		return
@@ -225,18 +229,20 @@
 	e.schedule()
 }
 
-// workerLeaving stops new placements on a worker and evicts the jobs there that can be restarted from
-// a checkpoint. Other jobs keep running.
-func (e *Engine) workerLeaving(id string) {
+// workerLeaving stops new placements on a worker and, unless jobsStay is set, evicts the jobs there that can be restarted
+// from a checkpoint. Other jobs keep running.
+func (e *Engine) workerLeaving(id string, jobsStay bool) {
 	w := e.pool.byID[id]
-	if w == nil || w.state == workerLeaving || w.state == workerLost {
+	if w == nil || w.state == workerLost || jobsStay && w.state == workerLeaving {
 		return
 	}
-	e.leaveQuarantine(w)
-	e.pool.setState(w, workerLeaving)
-	e.withdrawPlanned(w)
+	if w.state != workerLeaving {
+		e.leaveQuarantine(w)
+		e.pool.setState(w, workerLeaving)
+		e.withdrawPlanned(w)
+	}
 	for _, j := range slices.Clone(w.jobs) {
-		if j.preemptible() && j.req.Checkpoint {
+		if !jobsStay && j.preemptible() && j.req.Checkpoint {
 			e.evict(j, fmt.Sprintf("worker %s is leaving and the job can be checkpointed", id))
 		}
 	}
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -45,10 +45,13 @@
 type (
 	// Configure replaces the workspaces, their guarantees and the policy.
 	Configure struct{ Snapshot Snapshot }
-	// WorkerUp adds a worker or returns it to service.
+	// WorkerUp adds a worker or returns it to service. If VM.Leaving is set, it gets no new placements.
 	WorkerUp struct{ VM model.VM }
-	// WorkerLeaving stops new placements on a worker.
-	WorkerLeaving struct{ ID string }
+	// WorkerLeaving stops new placements on a worker. JobsStay means that jobs there are not evicted.
+	WorkerLeaving struct {
+		ID       string
+		JobsStay bool
+	}
 	// WorkerLost removes a worker. The engine reports each job that ran there as Lost.
 	WorkerLost struct{ ID string }
 	// Enqueue adds a job to the queue.
