sched: plays with evacuated workers

TestNothingIsLeftAfterTrouble has two more kinds of trouble: workers that are evacuated for some seconds, and for good. Every second job saves progress there, so that moves take part.

--- a/internal/sched/calm_test.go
+++ b/internal/sched/calm_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -38,7 +39,7 @@
 	failingUntil time.Duration // until when it fails what it starts
 	downUntil    time.Duration // until when it does not answer
 	crashed      bool          // it is down as it has crashed
-	oddUntil     time.Duration // until when it is draining
+	oddUntil     time.Duration // until when it is draining, or its zone is evacuated
 }
 
 // up reports whether the worker could start work.
@@ -71,6 +72,7 @@
 	left    map[TaskRef]time.Duration // what waited for longer than maxIdle, and how long
 	owners  int64
 	added   int
+	saves   bool // every second job saves its progress
 }
 
 // newCalmPool returns a pool without workers, whose queues allow for a number of attempts.
@@ -174,6 +176,7 @@
 	if !step.Lasts && r.IntN(4) == 0 {
 		w.Steps = append(w.Steps, model.Step{Tasks: 2, EstimateMs: step.EstimateMs, Each: step.Each, Label: step.Label, After: []int{0}})
 	}
+	w.Steps[0].Resumes = s.saves && i%2 == 0
 	s.add(w)
 }
 
@@ -224,8 +227,8 @@
 		w.Silent, w.crashed = false, false
 		s.e.SetWorker(w.Worker)
 	}
-	if w.Draining && s.now >= w.oddUntil {
-		w.Draining = false
+	if (w.Draining || w.Leaving) && s.now >= w.oddUntil {
+		w.Draining, w.Leaving, w.EvacuateBy = false, false, 0
 		s.e.SetWorker(w.Worker)
 	}
 }
@@ -263,6 +266,9 @@
 
 func (s *calmSim) start(o Order) {
 	w := s.workers[o.Worker]
+	if w.Leaving {
+		s.left[o.Task] = 0 // starts in an evacuated zone
+	}
 	r := &calmRun{run: o.Run, worker: o.Worker, began: s.now, ends: s.now + s.last[o.Task.Job]}
 	if s.speeds {
 		r.ends = s.now + time.Duration(estimateByID(o.Worker).Factor*float64(s.last[o.Task.Job]))
@@ -343,6 +349,12 @@
 		case "draining":
 			w.Draining, w.oddUntil = true, s.now+span(1, 8)
 			s.e.SetWorker(w.Worker)
+		case "evacuated", "evacuated for good":
+			w.Leaving, w.EvacuateBy, w.oddUntil = true, moment(s.now+5*time.Second).Steady, s.now+span(1, 12)
+			if kind != "evacuated" {
+				w.oddUntil = math.MaxInt64
+			}
+			s.e.SetWorker(w.Worker)
 		case "replaced":
 			s.replace(w)
 		}
@@ -489,8 +501,7 @@
 func TestNothingIsLeftAfterTrouble(t *testing.T) {
 	for name, kind := range map[string]string{
 		"none": "", "failing": "failing", "crashes": "crashes", "silent": "silent", "draining": "draining", "replaced": "replaced",
-		"owners": "owners", "mixed": "mixed",
-		"mixed, uneven speeds": "uneven",
+		"owners": "owners", "mixed": "mixed", "mixed, uneven speeds": "uneven", "evacuated": "evacuated", "evacuated for good": "evacuated for good",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -498,6 +509,7 @@
 			bad := 0
 			for seed := range *calmSeeds {
 				s := newCalmSim(uint64(seed))
+				s.saves = strings.HasPrefix(kind, "evacuated")
 				if kind == "uneven" {
 					s.speeds, s.e.speedOf = true, estimateByID
 				}
