sched: simulated loads that pass the capacity at times

The loads of the policy benchmark have 48 workers and at most one burst, so that rules for scarce capacity can't be compared. The contended loads have 350 workers, ten workspaces with guarantees of 60 % in sum, demand that swings by half with a period of 17 s, two bursts, estimates that are off, and runs that continue from checkpoints. BenchmarkContention reports worth, thrown-away work, broken guarantees and the service of workspaces by seed.

--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -57,6 +57,7 @@
 	failAdvice int
 	// startRate is how many starts a second the owner can send; 0 means any number.
 	startRate float64
+	contention
 }
 
 // burst multiplies the arrival rate of a kind by factor.
@@ -141,6 +142,7 @@
 	// startsLeft is how many starts the owner can send now, as of startsAt.
 	startsLeft float64
 	startsAt   time.Duration
+	contentionState
 }
 
 func newSim(l load, seed uint64) *sim {
@@ -207,6 +209,7 @@
 			rate *= b.factor
 		}
 	}
+	rate *= s.wave()
 	s.after(time.Duration(s.kindRands[i].ExpFloat64()/rate*float64(time.Second)), func() {
 		if s.now < span {
 			s.submit(i)
@@ -227,13 +230,13 @@
 	s.submitted[i]++
 	id := fmt.Sprintf("j%d-%05d", i, s.submitted[i])
 	w := &model.Work{ID: id, Queue: k.queue, AcceptedMs: s.moment().UnixMs}
-	w.Workspace = s.spaces[rnd.IntN(len(s.spaces))].Name
+	w.Workspace = s.spaces[s.drawSpace(rnd)].Name
 	each := k.each
 	each.Accelerators = k.accelerators[rnd.IntN(len(k.accelerators))]
 	oneRack, saves := rnd.Float64() < k.oneRack, rnd.Float64() < k.checkpoints
 	for st := range max(1, int(math.Round(k.meanSteps))) {
 		step := model.Step{
-			Tasks: drawTasks(rnd, k.meanTasks, k.maxTasks), Each: each, EstimateMs: int64(k.meanMs), Gang: k.gang,
+			Tasks: drawTasks(rnd, k.meanTasks, k.maxTasks), Each: each, EstimateMs: s.estimate(k, id), Gang: k.gang,
 			OneRack: oneRack, Resumes: saves,
 		}
 		if st > 0 {
@@ -243,6 +246,7 @@
 	}
 	j := NewJob(w)
 	s.jobs[id], s.kindOf[id] = j, i
+	s.recordPromise(j)
 	s.e.Add(j, s.moment())
 	s.offered += s.worth(j)
 	s.offeredByKind[i] += s.worth(j)
@@ -424,6 +428,7 @@
 	if s.isFaulty(o.Worker, s.hung) {
 		ms = math.Inf(1)
 	}
+	ms *= 1 - s.savedShare(o.Task)
 	r := &simRun{ref: o.Task, run: o.Run, worker: o.Worker, began: s.now, ms: ms, need: step.Each}
 	s.runs[o.Task] = r
 	s.after(5*time.Millisecond, func() { s.confirm(r) })
@@ -479,7 +484,7 @@
 	if !math.IsInf(r.ms, 1) {
 		percent = min(100, int(100*float64((s.now-r.began).Milliseconds())/r.ms))
 	}
-	s.e.Confirm(r.ref, r.run, percent, "", s.moment())
+	s.e.Confirm(r.ref, r.run, percent, s.checkpoint(r), s.moment())
 	s.after(2*time.Second, func() { s.confirm(r) })
 }
 
@@ -513,6 +518,7 @@
 		if step.Resumes {
 			ran = min(ran, checkpointLoss)
 		}
+		ran = s.save(r, step, ran)
 		s.lost += ran * step.Each.Cores()
 		s.lostByKind[s.kindOf[r.ref.Job]] += ran * step.Each.Cores()
 	}
@@ -562,5 +568,6 @@
 		gain = s.worth(j) * s.kinds[i].lateWorth
 	}
 	s.earned += gain
+	s.creditSpace(j, gain)
 	s.earnedByKind[i] += gain
 }
