sched: preemption stops what loses least, and waits for runs about to end

Cause: the loss of a run was the time since it was placed. A gang close to its end was stopped like any other of its age, a job with time for just one run like one with time for several, and each task of a step that was hurt already cost as much as the first.

A run now costs what it has not saved (reports of checkpoints), plus the worth that its job loses if it is too late afterwards; other members of a gang that stops anyway cost nothing, nor does the lateness of a step twice. A run that is predicted from its progress to end within what the urgent work can wait is waited for and stopped if it has not ended by then. Urgent work with slack beyond a measured stop first waits 300 ms for room. Guaranteed work keeps time for a stop and 600 ms for its starts out of 2,700 ms.

Two tests of preemption make a second pass 300 ms later, since the first no longer stops runs for work with slack; their numbers of stops are unchanged.

--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		step := &j.Work.Steps[ref.Step]
-		l.Loss += loss(t, step, now)
+		l.Loss += loss(t, b, step, now)
 		if !step.Lasts || !j.Open() {
 			continue
 		}
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -49,6 +49,10 @@
 	claims       map[shape]bool
 	// poolClaims has the rank of the first group for which all workers of a pool are claimed, by pool, in the present pass.
 	poolClaims map[string]int
+	// outlooks has the outlooks of batches that preemption has looked at in the present pass.
+	outlooks map[*Batch]outlook
+	// passAt is when the last pass began, and stopTime the measured time of stops; 0 if none has been measured.
+	passAt, stopTime time.Duration
 	// lastUrgentAt is when a pass last saw an urgent job that had not ended.
 	lastUrgentAt time.Duration
 	// lastStallCheck is when runs were last checked for progress.
@@ -153,6 +157,7 @@
 		e.changedJobs = map[string]bool{}
 		e.reservations = map[*Batch]TaskRef{}
 		e.utilizations = map[string]float64{}
+		e.outlooks = map[*Batch]outlook{}
 		e.claims, e.poolClaims = map[shape]bool{}, map[string]int{}
 		e.lastRun = e.Limits.FirstRun
 	}
@@ -395,7 +400,7 @@
 	if t.Phase != Placed || t.Stopping {
 		return
 	}
-	t.Stopping = true
+	t.Stopping, t.stopAt = true, e.passAt
 	q := e.queue(e.jobs[ref.Job])
 	e.orders = append(e.orders, Order{
 		Task: ref, Run: t.Run, Stop: true, Worker: t.Worker, Reason: reason, Queue: q.Name, Priority: q.Priority, PlacedAt: t.placedAt,
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -20,12 +20,14 @@
 // placed if it comes first. It reports whether work is left for want of budget.
 func (e *Engine) PassWithin(now Moment, budget int) (more bool) {
 	e.init()
+	e.passAt = now.Steady
 	e.stopStalledRuns(now)
 	e.stopIncompleteGangs(now)
 	e.startReserved(now)
 	e.refreshRacks(now)
 	e.clearClaims()
 	clear(e.utilizations)
+	clear(e.outlooks)
 	e.openUnneeded(now)
 	unplaceable := map[shape]bool{}
 	e.startsLeft = budget
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"greengageline/pkg/model"
@@ -15,6 +14,8 @@
 	task *Task
 	need model.Room
 	cost float64
+	// awaited is set for a run that ends so soon that the group waits for it.
+	awaited bool
 }
 
 // preemptionOption is a worker with the capacity that preemption could free on it. room is what is free
@@ -34,6 +35,9 @@
 	if g.queue.Priority != 0 || len(g.waiting) == 0 {
 		return false
 	}
+	if e.mayWaitForRoom(g, now) {
+		return false
+	}
 	guaranteed := e.guaranteedJobs
 	if g.step.OneRack && !g.maySpread(e, now) && e.idleRackFits(g) {
 		return e.preemptOnRack(g, guaranteed, now)
@@ -104,7 +108,9 @@
 		for _, v := range best.victims[best.chosen:victims] {
 			best.room = best.room.Plus(v.need, 1)
 		}
+		chosen := best.victims[best.chosen:victims]
 		best.chosen = victims
+		e.lowerCosts(options, chosen, now)
 		best.room = best.room.Minus(need, 1)
 		best.quota--
 		total += least
@@ -139,9 +145,9 @@
 			if step.Gang {
 				v.ref.Task = 0
 			}
-			if !v.task.Stopping && !counted[v.ref] {
+			if !v.task.Stopping && !v.awaited && !counted[v.ref] {
 				counted[v.ref] = true
-				total += loss(v.task, step, now)
+				total += loss(v.task, &e.jobs[v.ref.Job].Batches[v.ref.Occurrence][v.ref.Step], step, now)
 			}
 		}
 	}
@@ -168,6 +174,7 @@
 // tasks, by batch of a long-running step, that the options so far may stop.
 func (e *Engine) optionFor(g *group, w *worker, guaranteed map[*Job]bool, counted map[*Batch]int, now Moment) *preemptionOption {
 	p := &preemptionOption{w: w, room: w.free(), quota: g.quota(w)}
+	limit := e.awaitLimit(g, now)
 	for ref, t := range w.tasks {
 		j := e.jobs[ref.Job]
 		if j == nil {
@@ -179,19 +186,12 @@
 			if j.Open() && !e.preemptible(j, g, guaranteed) {
 				continue
 			}
-			v.cost = loss(t, step, now) * math.Pow(priorityCostFactor, -float64(e.queue(j).Priority))
+			v.cost = e.costOf(ref, j, t, e.cachedOutlook(j, ref, now), now)
+			v.await(&j.Batches[ref.Occurrence][ref.Step], step.Gang, limit, now)
 		}
 		p.victims = append(p.victims, v)
 	}
-	slices.SortFunc(p.victims, func(a, b victim) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		}
-		return compareRefs(a.ref, b.ref)
-	})
+	sortVictims(p.victims)
 	p.victims = slices.DeleteFunc(p.victims, func(v victim) bool { return !e.mayStop(v, counted) })
 	return p
 }
@@ -220,32 +220,15 @@
 	return p > 0 || g.guaranteed && !guaranteed[j] && j != g.job
 }
 
-// loss estimates the work, in core-seconds, that stopping a run loses: the time since it was placed and
-// the time of a restart, for all members of a gang.
-func loss(t *Task, step *model.Step, now Moment) float64 {
-	ran := (now.Steady - t.placedAt).Seconds()
-	n := 1
-	if step.Gang {
-		n = step.Tasks
-	}
-	if step.Resumes {
-		ran = min(ran, checkpointLoss)
-	}
-	return (ran + restartCost) * float64(n) * step.Need().Cores()
-}
-
-const (
-	// checkpointLoss is the work in seconds that a run with checkpoints loses at most: the longest
-	// checkpoint interval on the users' deployments.
-	checkpointLoss = 2
-	// restartCost is the time in seconds that a restart takes, in which its capacity does no work.
-	restartCost = 0.6
-)
-
 // preemptAndReserve stops the chosen victims and reserves capacity for the group's tasks.
 func (e *Engine) preemptAndReserve(g *group, options []*preemptionOption, now Moment) {
+	limit := e.awaitLimit(g, now)
 	for _, p := range options {
 		for _, v := range p.victims[:p.chosen] {
+			if v.awaited {
+				g.batch.awaitRun(v.ref, v.task.Run, now.Steady+limit)
+				continue
+			}
 			e.stopRun(v.ref, "urgent work of "+g.job.Work.Workspace+" needs the capacity")
 		}
 		p.chosen = 0
@@ -294,6 +277,7 @@
 func (e *Engine) startReservedBatch(b *Batch, now Moment) {
 	ref := e.reservations[b]
 	j := e.jobs[ref.Job]
+	e.stopAwaited(b, j.Work.Workspace, now)
 	g := &group{job: j, ref: ref, batch: b, step: &j.Work.Steps[ref.Step], queue: e.queue(j)}
 	var placement []*worker
 	keepReservation, fits := now.Steady-b.reservedAt < reservationTimeout, true
@@ -331,6 +315,7 @@
 		return
 	}
 	delete(e.reservations, b)
+	b.awaited = nil
 	for i := range b.Tasks {
 		t := &b.Tasks[i]
 		if w := e.workers[t.reservedOn]; w != nil {
--- a/internal/sched/preempt_test.go
+++ b/internal/sched/preempt_test.go
@@ -46,6 +46,7 @@
 			is.Equal(len(starts(e.TakeOrders())), 4)
 			addUrgent(e, "urgent", c.at-c.waited, c.step)
 			e.Pass(moment(c.at))
+			e.Pass(moment(c.at + roomWait)) // a group with enough slack waits for room first
 			is.Equal(len(stops(e.TakeOrders())), c.stops)
 		})
 	}
@@ -76,6 +77,7 @@
 	addUrgent(e, "short", 1900*time.Millisecond, shortGang(2, 1000))
 	addUrgent(e, "long", 2*time.Second, shortGang(2, 10_000))
 	e.Pass(moment(2 * time.Second))
+	e.Pass(moment(2*time.Second + roomWait)) // the long gang has enough slack to wait for room first
 	is.Equal(len(stops(e.TakeOrders())), 4)
 	is.Equal(len(e.reservations), 1)
 	for _, ref := range e.reservations {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -11,6 +11,7 @@
 	if t == nil || t.Phase != Placed || t.Run != run {
 		return
 	}
+	t.noteReport(percent, checkpoint, now)
 	if !t.Confirmed || percent != t.percent {
 		t.progressAt = now.Steady
 	}
@@ -47,6 +48,9 @@
 	workerID := t.Worker
 	confirmed, finished := t.Confirmed, t.percent >= completePercent
 	stopping := t.Stopping
+	if cause == Stopped {
+		e.noteStop(t, now)
+	}
 	e.removeFromWorker(ref, t, step)
 	t.endedAt = now.Steady
 	e.changedJobs[ref.Job] = true
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -82,7 +82,12 @@
 	percent     int
 	placedAt    time.Duration
 	confirmedAt time.Duration // when the run was confirmed
-	endedAt     time.Duration // when the last run ended; 0 if none has
+	// firstPercent is the progress in percent that the run was confirmed with, and savedAt when a new checkpoint was last
+	// reported.
+	firstPercent int
+	stopAt       time.Duration // when a stop was ordered
+	savedAt      time.Duration
+	endedAt      time.Duration // when the last run ended; 0 if none has
 	// isolated is set for a run that has its worker to itself. survived is the longest time for which a
 	// worker had a run of the task before it crashed.
 	isolated    bool
@@ -114,6 +119,9 @@
 	// ready is set at readyAt, once the batch could first start.
 	ended      int
 	reservedAt time.Duration
+	// awaited holds the runs for whose end the batch waits until awaitUntil instead of having them stopped.
+	awaited    []awaitedRun
+	awaitUntil time.Duration
 	readyAt    time.Duration
 	ready      bool
 	// suspectsWaitFrom is since when suspects among the tasks wait; 0 if none do.
