--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -68,6 +68,10 @@
 	// speedOf and paceOf replace Speeds in tests, if they are set.
 	speedOf func(worker string) speed.Estimate
 	paceOf  func(queue string) float64
+	// outlooks has the outlooks of batches that preemption has looked at in the present pass.
+	outlooks map[*Batch]outlook
+	// passAt is when the last pass began, and stopTime the measured time of stops; 0 if none has been measured.
+	passAt, stopTime time.Duration
 	// lastUrgentAt is when a pass last saw an urgent job that had not ended.
 	lastUrgentAt time.Duration
 	// lastStallCheck is when runs were last checked for progress.
@@ -176,6 +180,7 @@
 		e.changedJobs = map[string]bool{}
 		e.reservations = map[*Batch]TaskRef{}
 		e.poolUses = map[string]poolUse{}
+		e.outlooks = map[*Batch]outlook{}
 		e.uneven, e.fastest, e.urgentLimits = map[string]bool{}, map[string]float64{}, map[string]float64{}
 		e.estimateErrors = map[string]*estimateErrors{}
 		e.claims, e.poolClaims = map[shape]bool{}, map[string]int{}
@@ -426,7 +431,7 @@
 	if t.Phase != Placed || t.Stopping {
 		return
 	}
-	t.Stopping = true
+	t.Stopping, t.stopAt = true, e.passAt
 	q := e.queue(e.jobs[ref.Job])
 	e.orders = append(e.orders, Order{
 		Task: ref, Run: t.Run, Stop: true, Worker: t.Worker, Reason: reason, Queue: q.Name, Priority: q.Priority, PlacedAt: t.placedAt,
--- a/internal/sched/estimates.go
+++ b/internal/sched/estimates.go
@@ -122,10 +122,15 @@
 // workers differ, its steps are expected to take as long as usual on the fastest ones, and those that run as long as they
 // take where they are.
 func (e *Engine) lateness(j *Job, k int, q model.Queue, now Moment) (lateness, float64) {
+	return j.lateness(k, q, now, e.remainingMs(j, k, q, now))
+}
+
+// remainingMs estimates the time until occurrence k of the job ends, in ms, as lateness expects it.
+func (e *Engine) remainingMs(j *Job, k int, q model.Queue, now Moment) int64 {
 	if !e.uneven[q.Pool] {
-		return j.lateness(k, q, now, j.remainingMs(k, nil))
+		return j.remainingMs(k, nil)
 	}
-	return j.lateness(k, q, now, j.remainingMs(k, func(b *Batch, s *model.Step) int64 { return e.stepRemainingMs(b, s, q, now) }))
+	return j.remainingMs(k, func(b *Batch, s *model.Step) int64 { return e.stepRemainingMs(b, s, q, now) })
 }
 
 // stepRemainingMs estimates how long a step still takes that has not ended.
--- a/internal/sched/evac.go
+++ b/internal/sched/evac.go
@@ -68,7 +68,7 @@
 		}
 		g.guaranteed = e.guaranteedJobs[g.job]
 		g.lateness, g.timeLeft = e.lateness(g.job, g.ref.Occurrence, g.queue, now)
-		out = append(out, move{g, loss(&g.batch.Tasks[g.waiting[0]], g.step, now)})
+		out = append(out, move{g, loss(&g.batch.Tasks[g.waiting[0]], g.batch, g.step, now)})
 	}
 	slices.SortFunc(out, func(a, b move) int {
 		return cmp.Or(cmp.Compare(a.loss, b.loss), compareRefs(a.group.ref, b.group.ref))
@@ -124,7 +124,7 @@
 		g.waiting = lo.Range(len(b.Tasks))
 	}
 	slices.SortFunc(g.waiting, func(x, y int) int {
-		return cmp.Or(cmp.Compare(loss(&b.Tasks[x], g.step, now), loss(&b.Tasks[y], g.step, now)), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(loss(&b.Tasks[x], b, g.step, now), loss(&b.Tasks[y], b, g.step, now)), cmp.Compare(x, y))
 	})
 	if g.step.Lasts {
 		allowed := b.disruptionsAllowed(g.step)
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
+	lop "github.com/samber/lo/parallel"
 
 	"greengageline/pkg/model"
 )
@@ -182,14 +184,17 @@
 
 // Guards against gangs of middle priority that earn less than their floor among bursts of urgent and small
 // work: they were held back until they had time for one run, found their room taken by small tasks, and were
-// stopped first because they had just started.
+// stopped first because they had just started. On few days any change of order moves the count by two or three.
 func TestLargeGangsEarnTheirFloorAmongBursts(t *testing.T) {
-	const days, mayMiss = 30, 3
-	missed := 0
-	for seed := range uint64(days) {
-		s := newSim(rosterLoad(), seed)
+	const days, mayMiss = 120, 12
+	shares := lop.Map(lo.Range(days), func(seed, _ int) float64 {
+		s := newSim(rosterLoad(), uint64(seed))
 		s.run(trafficSpan, simulationLimit)
-		if share := s.earnedByKind[0] / s.offeredByKind[0]; share < minKindShare {
+		return s.earnedByKind[0] / s.offeredByKind[0]
+	})
+	missed := 0
+	for seed, share := range shares {
+		if share < minKindShare {
 			missed++
 			t.Logf("seed %d: large gangs earned %.3f of their worth", seed, share)
 		}
--- a/internal/sched/moves.go
+++ b/internal/sched/moves.go
@@ -183,7 +183,7 @@
 	own := float64(len(g.batch.Tasks)) * g.step.Need().Cores() * float64(g.step.EstimateMs) / 1000
 	lost := 0.0
 	for _, i := range g.waiting {
-		lost += loss(&g.batch.Tasks[i], g.step, now)
+		lost += loss(&g.batch.Tasks[i], g.batch, g.step, now)
 		if g.step.Gang {
 			break // the loss of a member is that of its gang
 		}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -11,6 +11,7 @@
 	if t == nil || t.Phase != Placed || t.Run != run {
 		return
 	}
+	t.noteReport(percent, checkpoint, now)
 	if !t.Confirmed || percent != t.percent {
 		t.progressAt = now.Steady
 	}
@@ -48,8 +49,11 @@
 	workerID := t.Worker
 	confirmed, finished := t.Confirmed, t.percent >= completePercent
 	stopping := t.Stopping
-	if cause == Done {
+	switch cause {
+	case Done:
 		e.observeEnd(ref, j, b, t, now)
+	case Stopped:
+		e.noteStop(t, now)
 	}
 	e.removeFromWorker(ref, t, step)
 	t.endedAt = now.Steady
--- a/internal/sched/sim_test.go
+++ b/internal/sched/sim_test.go
@@ -66,6 +66,7 @@
 	startRate float64
 	// speedOf returns how many times as long tasks take on the i-th worker; nil means that all are alike.
 	speedOf func(i int) float64
+	contention
 }
 
 // burst multiplies the arrival rate of a kind by factor.
@@ -75,32 +76,6 @@
 	factor   float64
 }
 
-// event is an action at a time of the simulation; seq orders the events of one time.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-// events is a heap of events, the earliest first.
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // simRun is a run on a simulated worker.
 type simRun struct {
 	ref      TaskRef
@@ -155,6 +130,7 @@
 	startsAt   time.Duration
 	// onOrder is called for each order, if it is set.
 	onOrder func(Order)
+	contentionState
 }
 
 func newSim(l load, seed uint64) *sim {
@@ -230,6 +206,7 @@
 			rate *= b.factor
 		}
 	}
+	rate *= s.wave()
 	s.after(time.Duration(s.kindRands[i].ExpFloat64()/rate*float64(time.Second)), func() {
 		if s.now < span {
 			s.submit(i)
@@ -250,13 +227,13 @@
 	s.submitted[i]++
 	id := fmt.Sprintf("j%d-%05d", i, s.submitted[i])
 	w := &model.Work{ID: id, Queue: k.queue, AcceptedMs: s.moment().UnixMs}
-	w.Workspace = s.spaces[rnd.IntN(len(s.spaces))].Name
+	w.Workspace = s.spaces[s.drawSpace(rnd)].Name
 	each := k.each
 	each.Accelerators = k.accelerators[rnd.IntN(len(k.accelerators))]
 	oneRack, saves := rnd.Float64() < k.oneRack, rnd.Float64() < k.checkpoints
 	for st := range max(1, int(math.Round(k.meanSteps))) {
 		step := model.Step{
-			Tasks: drawTasks(rnd, k.meanTasks, k.maxTasks), Each: each, EstimateMs: int64(k.meanMs), Gang: k.gang,
+			Tasks: drawTasks(rnd, k.meanTasks, k.maxTasks), Each: each, EstimateMs: s.estimateMs(k, id), Gang: k.gang,
 			OneRack: oneRack, Resumes: saves,
 		}
 		if st > 0 {
@@ -266,6 +243,7 @@
 	}
 	j := NewJob(w)
 	s.jobs[id], s.kindOf[id] = j, i
+	s.recordPromise(j)
 	s.e.Add(j, s.moment())
 	s.offered += s.worth(j)
 	s.offeredByKind[i] += s.worth(j)
@@ -455,6 +433,7 @@
 	if s.isFaulty(o.Worker, s.hung) {
 		ms = math.Inf(1)
 	}
+	ms *= 1 - s.savedShare(o.Task)
 	r := &simRun{ref: o.Task, run: o.Run, worker: o.Worker, began: s.now, ms: ms, need: step.Each}
 	s.runs[o.Task] = r
 	s.after(5*time.Millisecond, func() { s.confirm(r) })
@@ -514,7 +493,7 @@
 	if !math.IsInf(r.ms, 1) {
 		percent = min(100, int(100*float64((s.now-r.began).Milliseconds())/r.ms))
 	}
-	s.e.Confirm(r.ref, r.run, percent, "", s.moment())
+	s.e.Confirm(r.ref, r.run, percent, s.checkpoint(r), s.moment())
 	s.after(2*time.Second, func() { s.confirm(r) })
 }
 
@@ -548,6 +527,7 @@
 		if step.Resumes {
 			ran = min(ran, checkpointLoss)
 		}
+		ran = s.save(r, step, ran)
 		s.lost += ran * step.Each.Cores()
 		s.lostByKind[s.kindOf[r.ref.Job]] += ran * step.Each.Cores()
 	}
@@ -597,5 +577,6 @@
 		gain = s.worth(j) * s.kinds[i].lateWorth
 	}
 	s.earned += gain
+	s.creditSpace(j, gain)
 	s.earnedByKind[i] += gain
 }
--- a/internal/sched/state.go
+++ b/internal/sched/state.go
@@ -82,7 +82,12 @@
 	percent     int
 	placedAt    time.Duration
 	confirmedAt time.Duration // when the run was confirmed
-	endedAt     time.Duration // when the last run ended; 0 if none has
+	// firstPercent is the progress in percent that the run was confirmed with, and savedAt when a new checkpoint was last
+	// reported.
+	firstPercent int
+	stopAt       time.Duration // when a stop was ordered
+	savedAt      time.Duration
+	endedAt      time.Duration // when the last run ended; 0 if none has
 	// isolated is set for a run that has its worker to itself. survived is the longest time for which a
 	// worker had a run of the task before it crashed.
 	isolated bool
@@ -119,9 +124,12 @@
 	ended      int
 	reservedAt time.Duration
 	// moving is why the reserved capacity is for runs that move there, which may still be stopping.
-	moving  moveCause
-	readyAt time.Duration
-	ready   bool
+	moving moveCause
+	// awaited holds the runs for whose end the batch waits until awaitUntil instead of having them stopped.
+	awaited    []awaitedRun
+	awaitUntil time.Duration
+	readyAt    time.Duration
+	ready      bool
 	// slowestRun is the longest time that a run of the batch took, as a multiple of what the estimate and the speed of its
 	// worker let expect. unmeasured is set if it does not hold for all of the batch's work.
 	slowestRun float64
