--- a/internal/sched/speeds_test.go
+++ b/internal/sched/speeds_test.go
@@ -63,10 +63,14 @@
 // Guards against workers that are taken as different under the usual loads, in which all are alike, although gangs are
 // spread, runs are stopped, fail and continue from checkpoints.
 func TestWorkersStayEvenUnderLoad(t *testing.T) {
-	for name, l := range map[string]load{"base": baseLoad(), "many cores": manyCoresLoad()} {
+	restarts := rosterLoad().with(func(l *load) { l.slow = nil }) // gangs that ran on one rack start again on several
+	for name, c := range map[string]struct {
+		load load
+		seed uint64
+	}{"base": {baseLoad(), 1}, "many cores": {manyCoresLoad(), 1}, "restarts on several racks": {restarts, 25}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := newSim(l, 1)
+			s := newSim(c.load, c.seed)
 			uneven := 0
 			var check func()
 			check = func() {
--- a/internal/speed/model_test.go
+++ b/internal/speed/model_test.go
@@ -283,6 +283,32 @@
 	}
 }
 
+// Guards against a worker that gets no work long after it was slow for a while, since it gets no run that would show that
+// it has recovered, and against one that has always been slow and is forgotten.
+func TestSuddenSlownessIsForgottenWithoutRuns(t *testing.T) {
+	for name, always := range map[string]bool{"turned slow": false, "always slow": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newModel(3, 100, twoClasses(0.33, 2.4, 1))
+			m.factors[0] = 1
+			if always {
+				m.factors[0] = 2.4
+			}
+			for range 100 {
+				m.step()
+			}
+			m.factors[0] = 2.4
+			is.True(m.samplesUntil(0, func(f float64) bool { return f > 1.7 }) < 40)
+			m.t.workers["idle"], m.t.workers[workerName(0)] = m.t.workers[workerName(0)], nil // it gets no runs
+			for until := m.now + 25*time.Second; m.now < until; {
+				m.step()
+			}
+			m.t.workers[workerName(0)] = m.t.workers["idle"]
+			is.Equal(m.t.Factor(workerName(0)).Factor > 1.7, always)
+		})
+	}
+}
+
 func benchmarkModel() (m *model, names, steps []string) {
 	m = newModel(1, 28_000, twoClasses(0.33, 1.7, 0.7))
 	for range 2000 {
--- a/internal/speed/pool.go
+++ b/internal/speed/pool.go
@@ -149,6 +149,7 @@
 		w.post.toPosterior(&prior)
 	}
 	w.mean, w.variance = w.post.moments()
+	w.noteTurn(t.now)
 	w.settled = w.post.massNear(w.mean, openWidth)
 	w.differs = 1 - w.post.massNear(p.center, differs)
 	if w.used == 0 {
--- a/internal/speed/step.go
+++ b/internal/speed/step.go
@@ -238,13 +238,12 @@
 	if fresh {
 		if n := w.contradicted(); n > 0 {
 			w.keepLatest(n)
-			w.turnedAt = 0
-			if float64(e.z) > w.mean {
-				w.turnedAt = e.at
-			}
 		}
 	}
 	t.refresh(w)
+	if fresh {
+		w.noteUsual()
+	}
 	return fresh
 }
 
--- a/internal/speed/worker.go
+++ b/internal/speed/worker.go
@@ -13,10 +13,14 @@
 	// It is long, since a worker that gets no work tells nothing, and samples that contradict the estimate replace those
 	// before at once.
 	forgetTime = time.Hour
-	// turnedForgetTime is the same for a worker that has turned slow less than turnedTime ago. Most of these are back at
-	// their usual speed within seconds, and get too few runs to show it.
+	// turnedBy is the difference from its usual speed, as a logarithm, from which a worker has turned slow. Most such
+	// workers are back at their usual speed within seconds and get too few runs to show it, so the samples lose their weight
+	// in turnedForgetTime and are dropped after turnedTime, unless usualSamples agree with each other within agreeWidth.
+	turnedBy         = 0.3
 	turnedForgetTime = 5 * time.Second
 	turnedTime       = 30 * time.Second
+	usualSamples     = 6
+	agreeWidth       = 0.35
 	// tick is the resolution of the times of samples.
 	tick = 100 * time.Millisecond
 	// rebornWeight is the weight of what an earlier incarnation has shown, in samples.
@@ -62,7 +66,10 @@
 	counted, inSampled bool
 	mean, variance     float64
 	evidence           float32 // weight of the samples
-	// turnedAt is when the latest samples showed that the worker has turned slow, in ticks; 0 if they have not.
+	// usual is the speed on which the samples last agreed, if usualOK is set. turnedAt is when the worker turned slow, in
+	// ticks; 0 if it has not.
+	usual        float64
+	usualOK      bool
 	turnedAt     uint32
 	settled      float64 // probability of a speed near the mean
 	differs      float64 // probability of a speed that differs from the typical one
@@ -161,12 +168,35 @@
 		return 1
 	}
 	forget := forgetTime
-	if w.turnedAt > 0 && now/tick < time.Duration(w.turnedAt)+turnedTime/tick {
+	if w.turnedAt > 0 {
 		forget = turnedForgetTime
 	}
 	return float32(math.Exp(-age * tick.Seconds() / forget.Seconds()))
 }
 
+// noteTurn records whether the worker has turned slow, and forgets its samples once that is long ago.
+func (w *worker) noteTurn(now time.Duration) {
+	switch {
+	case w.turnedAt == 0 && w.usualOK && w.mean-w.usual > turnedBy:
+		w.turnedAt = uint32(max(1, now/tick)) //nolint:gosec // wraps after 13 years
+	case w.turnedAt > 0 && now/tick > time.Duration(w.turnedAt)+turnedTime/tick:
+		w.used, w.next, w.turnedAt = 0, 0, 0
+	}
+}
+
+// noteUsual records the worker's speed as its usual one if enough samples agree on it.
+func (w *worker) noteUsual() {
+	agree := 0
+	for i := range w.used {
+		if math.Abs(float64(w.ring[i].z)-w.mean) <= agreeWidth {
+			agree++
+		}
+	}
+	if agree >= usualSamples {
+		w.usual, w.usualOK, w.turnedAt = w.mean, true, 0
+	}
+}
+
 // contradicted reports how many of the latest entries contradict those before; 0 if none do.
 func (w *worker) contradicted() int {
 	last := w.latest(0)
