--- a/internal/speed/step.go
+++ b/internal/speed/step.go
@@ -92,7 +92,7 @@
 func (t *Table) queueOf(name string) *queue {
 	q := t.queues[name]
 	if q == nil {
-		q = &queue{spread: 0.8}
+		q = &queue{spread: 0.4}
 		t.queues[name] = q
 	}
 	return q
@@ -208,13 +208,9 @@
 func (t *Table) compare(s *step, m *member, at time.Duration) bool {
 	w := m.w
 	noise := w.pool.noise * w.pool.noise
-	list, own := t.others[:0], 0
+	list := t.others[:0]
 	for i := range s.members {
-		o := &s.members[i]
-		switch {
-		case o.w == w:
-			own++
-		case o.w.pool != nil:
+		if o := &s.members[i]; o.w != w && o.w.pool != nil {
 			list = append(list, other{float64(o.y) - o.w.mean, noise + float64(o.v) + o.w.variance})
 		}
 	}
@@ -227,13 +223,7 @@
 		return false
 	}
 	center, v := robustMean(list)
-	// The worker's runs of the step share the error of what they are compared with, so together they tell no more than v allows.
-	sd := min(math.Sqrt(noise+float64(m.v)+float64(own)*v), maxSd)
-	for i := range w.used {
-		if w.ring[i].step == s.id {
-			w.ring[i].sd = max(w.ring[i].sd, float32(sd))
-		}
-	}
+	sd := min(math.Sqrt(noise+float64(m.v)+v), maxSd)
 	e := entry{
 		z: float32(float64(m.y) - center - recentred*w.pool.center), sd: float32(sd), weight: 1,
 		at: uint32(max(at, 0) / tick), step: s.id, task: m.task, //nolint:gosec // wraps after 13 years
