--- a/internal/sched/speeds_test.go
+++ b/internal/sched/speeds_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"testing"
@@ -16,7 +17,8 @@
 	for _, l := range s.e.TakeLooks() {
 		s.looks++
 		s.after(l.After, func() {
-			for _, r := range s.runs {
+			for _, ref := range slices.SortedFunc(maps.Keys(s.runs), compareRefs) { // in an order that a seed repeats
+				r := s.runs[ref]
 				if r.worker == l.Worker && !r.ended && !math.IsInf(r.ms, 1) {
 					percent := min(100, int(100*float64((s.now-r.began).Milliseconds())/r.ms))
 					s.e.Confirm(r.ref, r.run, percent, "", s.moment())
