--- a/internal/fakes/crowd.go
+++ b/internal/fakes/crowd.go
@@ -1,10 +1,13 @@
 package fakes
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -18,25 +21,38 @@
 const (
 	// crowdSendLimit bounds the sending of one connection, whose peer may stop reading.
 	crowdSendLimit = 2 * time.Second
+	// crowdReplyLimit bounds the requests of one connection that reads the replies.
+	crowdReplyLimit = 30 * time.Second
 	// crowdHold is how long the connections stay open once all have sent.
 	crowdHold = 500 * time.Millisecond
 	// sampleInterval is the time between two looks at the descriptors of a process.
 	sampleInterval = 20 * time.Millisecond
 )
 
-// Crowd is a number of clients that connect to Addr at once, send and don't read. They stay connected until all
-// have sent.
+// Crowd is a number of clients that connect to Addr at once and send. They stay connected until all have sent.
 type Crowd struct {
 	Addr  string
 	Conns int
-	// Send is what each connection sends, over TCP.
+	// Send is what each connection sends, over TCP, without reading.
 	Send []byte
+	// Request, if it is set, returns HTTP request number k of connection i. Each connection sends Requests of them, each
+	// once the reply to the one before has arrived.
+	Request  func(i, k int) []byte
+	Requests int
 	// Method, Message and Calls are the gRPC method that each connection calls, with what message and how often at
 	// once. A connection sends no more after SendLimit bytes if that is above 0.
 	Method    string
 	Message   []byte
 	Calls     int
 	SendLimit int64
+	// InTurn means that a connection calls once the reply to the call before has arrived, not all at once.
+	InTurn bool
+	// MessageOf, if it is set, returns the message of call k of connection i in place of Message.
+	MessageOf func(i, k int) []byte
+	// Streams means that each call opens a stream, on which it sends its message and reads nothing.
+	Streams bool
+	// ReadLimit, if it is above 0, is how many bytes a connection that calls a method reads before it stops reading.
+	ReadLimit int64
 }
 
 // Use is what a process has used: the largest resident memory since its start, and the most descriptors that were
@@ -61,7 +77,7 @@
 		select {
 		case <-done:
 			if use.Err == nil {
-				use.MB, use.Err = peakMemory(pid)
+				use.MB, use.Err = PeakMemory(pid)
 			}
 			return use
 		case <-time.After(sampleInterval):
@@ -74,13 +90,16 @@
 	var sent, done sync.WaitGroup
 	leave := make(chan struct{})
 	one := c.sendRaw
-	if c.Method != "" {
+	switch {
+	case c.Method != "":
 		one = c.sendCalls
+	case c.Request != nil:
+		one = c.sendRequests
 	}
-	for range c.Conns {
+	for i := range c.Conns {
 		sent.Add(1)
 		done.Go(func() {
-			closeConn := one()
+			closeConn := one(i)
 			sent.Done()
 			<-leave
 			closeConn()
@@ -92,7 +111,7 @@
 	done.Wait()
 }
 
-func (c *Crowd) sendRaw() func() {
+func (c *Crowd) sendRaw(int) func() {
 	conn, err := net.DialTimeout("tcp", c.Addr, crowdSendLimit)
 	if err != nil {
 		return func() {}
@@ -102,6 +121,29 @@
 	return func() { _ = conn.Close() }
 }
 
+func (c *Crowd) sendRequests(i int) func() {
+	conn, err := net.DialTimeout("tcp", c.Addr, crowdSendLimit)
+	if err != nil {
+		return func() {}
+	}
+	_ = conn.SetDeadline(time.Now().Add(crowdReplyLimit))
+	r := bufio.NewReader(conn)
+	for k := range c.Requests {
+		if _, err := conn.Write(c.Request(i, k)); err != nil {
+			break
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			break
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		if resp.Body.Close(); err != nil || resp.Close {
+			break
+		}
+	}
+	return func() { _ = conn.Close() }
+}
+
 // rawCodec sends byte slices under the name of the nodes' codec.
 type rawCodec struct{}
 
@@ -112,39 +154,59 @@
 // errSendLimit means that a connection has sent its SendLimit.
 var errSendLimit = errors.New("send limit reached")
 
-// cutConn is a connection that takes left more bytes and then stands still until it is closed.
+// cutConn is a connection that takes and gives so many more bytes, if they are limited, and then stands still until it
+// is closed.
 type cutConn struct {
 	net.Conn
-	left   atomic.Int64
-	closed chan struct{}
-	once   sync.Once
+	writes, reads     atomic.Int64
+	writeCut, readCut bool
+	closed            chan struct{}
+	once              sync.Once
 }
 
 func (c *cutConn) Write(p []byte) (int, error) {
-	n := min(int64(len(p)), c.left.Load())
+	if !c.writeCut {
+		return c.Conn.Write(p)
+	}
+	n := min(int64(len(p)), c.writes.Load())
 	sent, err := c.Conn.Write(p[:n])
-	if c.left.Add(-n); err == nil && sent < len(p) {
+	if c.writes.Add(-n); err == nil && sent < len(p) {
 		<-c.closed
 		err = errSendLimit
 	}
 	return sent, err
 }
 
+func (c *cutConn) Read(p []byte) (int, error) {
+	if !c.readCut {
+		return c.Conn.Read(p)
+	}
+	limit := c.reads.Load()
+	if limit <= 0 {
+		<-c.closed
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), limit)])
+	c.reads.Add(-int64(n))
+	return n, err
+}
+
 func (c *cutConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
 	return c.Conn.Close()
 }
 
-func (c *Crowd) sendCalls() func() {
+func (c *Crowd) sendCalls(i int) func() {
 	conn, err := grpc.NewClient("passthrough:///"+c.Addr, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
 		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
 			var d net.Dialer
 			raw, err := d.DialContext(ctx, "tcp", addr)
-			if err != nil || c.SendLimit == 0 {
+			if err != nil || c.SendLimit == 0 && c.ReadLimit == 0 {
 				return raw, err
 			}
-			cut := &cutConn{Conn: raw, closed: make(chan struct{})}
-			cut.left.Store(c.SendLimit)
+			cut := &cutConn{Conn: raw, closed: make(chan struct{}), writeCut: c.SendLimit > 0, readCut: c.ReadLimit > 0}
+			cut.writes.Store(c.SendLimit)
+			cut.reads.Store(c.ReadLimit)
 			return cut, nil
 		}))
 	if err != nil {
@@ -152,11 +214,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crowdSendLimit)
 	var calls sync.WaitGroup
-	for range c.Calls {
-		calls.Go(func() {
-			var out struct{}
-			_ = conn.Invoke(ctx, c.Method, c.Message, &out, grpc.ForceCodec(rawCodec{}))
-		})
+	for k := range c.Calls {
+		message := c.Message
+		if c.MessageOf != nil {
+			message = c.MessageOf(i, k)
+		}
+		calls.Go(func() { c.call(ctx, conn, message) })
+		if c.InTurn {
+			calls.Wait()
+		}
 	}
 	calls.Wait()
 	return func() {
@@ -165,8 +231,21 @@
 	}
 }
 
-// peakMemory returns the largest resident memory that a process has had, in MB.
-func peakMemory(pid int) (int, error) {
+// call calls the method once; errors don't matter to a crowd.
+func (c *Crowd) call(ctx context.Context, conn *grpc.ClientConn, message []byte) {
+	if !c.Streams {
+		var out struct{}
+		_ = conn.Invoke(ctx, c.Method, message, &out, grpc.ForceCodec(rawCodec{}))
+		return
+	}
+	s, err := conn.NewStream(ctx, &grpc.StreamDesc{ClientStreams: true, ServerStreams: true}, c.Method, grpc.ForceCodec(rawCodec{}))
+	if err == nil {
+		_ = s.SendMsg(message)
+	}
+}
+
+// PeakMemory returns the largest resident memory that a process has had, in MB.
+func PeakMemory(pid int) (int, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, fmt.Errorf("read the memory of process %d: %w", pid, err)
