guard: a process outlives the want of descriptors

Cause: Accept fails with EMFILE. fasthttp returns from Serve with the first error of Accept that is not a timeout, and the process ends with its server, or goes on without a port. The bounds on connections are parts of the settings' descriptors; they do not help where the owner's connections to workers have taken the others, as docs/CAPACITY.md shows for 300 nodes (3,743 of 4,100). Change: guard.Listener keeps errors that pass (EMFILE, ENFILE, ENOBUFS, ENOMEM), closes the connection that has waited the longest, pauses 5 to 250 ms and accepts again. Other errors are returned as before. Why this works: the servers never see the error, and each attempt frees a descriptor that a waiting client had. TestListenerOutlivesWantOfDescriptors fails without the change.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,6 +63,45 @@
 	}
 }
 
+// exhaustedListener has no descriptors left until freed is closed.
+type exhaustedListener struct {
+	net.Listener
+	freed chan struct{}
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.freed:
+		return l.Listener.Accept()
+	default:
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+}
+
+// Guards against a server that ends because the process has run out of descriptors.
+func TestListenerOutlivesWantOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	freed := make(chan struct{})
+	l := NewListener(&exhaustedListener{inner, freed}, 2, &Counters{})
+	ours, theirs := net.Pipe()
+	is.True(l.add(&Conn{Conn: ours, listener: l}))
+	go func() {
+		_, _ = theirs.Read(make([]byte, 1)) // the waiting connection gives way
+		close(freed)
+	}()
+	client, err := net.Dial("tcp4", inner.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	_, err = l.Accept()
+	is.NoErr(err)
+	is.NoErr(inner.Close())
+	_, err = l.Accept()
+	is.True(errors.Is(err, net.ErrClosed)) // other errors are returned
+}
+
 // Guards against unfinished messages of nodes that hold memory without a bound, or for good, and against finished ones that
 // still count.
 func TestPeers(t *testing.T) {
--- a/internal/guard/listen.go
+++ b/internal/guard/listen.go
@@ -1,12 +1,21 @@
 package guard
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
+const (
+	// minAcceptPause and maxAcceptPause bound the pause after a connection could not be accepted for want of
+	// descriptors or memory.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 250 * time.Millisecond
+)
+
 // Listener bounds the open connections that it has accepted. When there are Max, it closes the one that has waited for
 // a request for the longest time in favor of a new one, so that silent clients do not shut out others.
 type Listener struct {
@@ -35,13 +44,23 @@
 	unfinished unfinished
 }
 
-// Accept waits for the next connection. Its errors are those of the network, as servers tell them apart by type.
+// Accept waits for the next connection. While the process has no descriptors left, it closes the connection that has
+// waited the longest and tries again, since a server ends with the first error. Other errors are those of the network, as
+// servers tell them apart by type.
 func (l *Listener) Accept() (net.Conn, error) {
+	pause := minAcceptPause
 	for {
 		raw, err := l.Listener.Accept()
+		if isExhausted(err) {
+			l.closeLongestWaiting()
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
+		pause = minAcceptPause
 		c := &Conn{Conn: raw, listener: l}
 		c.waitsSince.Store(time.Now().UnixNano())
 		if l.add(c) {
@@ -59,14 +78,8 @@
 func (l *Listener) add(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.Max {
-		oldest := l.longestWaiting()
-		if oldest == nil {
-			return false
-		}
-		delete(l.conns, oldest)
-		_ = oldest.Conn.Close()
-		l.Counters.Crowded.Add(1)
+	if len(l.conns) >= l.Max && !l.dropLongestWaiting() {
+		return false
 	}
 	if l.conns == nil {
 		l.conns = map[*Conn]struct{}{}
@@ -75,6 +88,31 @@
 	return true
 }
 
+// isExhausted reports whether a connection could not be accepted because the process or the system lacks descriptors or
+// memory, which passes.
+func isExhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+func (l *Listener) closeLongestWaiting() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dropLongestWaiting()
+}
+
+// dropLongestWaiting closes the connection that has waited for the longest time and reports whether one waits; the caller
+// holds mu.
+func (l *Listener) dropLongestWaiting() bool {
+	oldest := l.longestWaiting()
+	if oldest == nil {
+		return false
+	}
+	delete(l.conns, oldest)
+	_ = oldest.Conn.Close()
+	l.Counters.Crowded.Add(1)
+	return true
+}
+
 // longestWaiting returns the connection that has waited for the longest time, nil if none waits; the caller holds mu.
 func (l *Listener) longestWaiting() *Conn {
 	var oldest *Conn
