leader, edge: the state of accepted jobs is bounded

Seen: 80 requests of 150 bytes, each a job that is repeated 10,000 times, took 221 to 256 MB at the owner, where the VM has 128, and so did 2,000 jobs near the 48 KiB of a row (233 to 264 MB) and messages of a node about jobs that nobody had stored (171 to 263 MB). The jobs are durable, so the next owner read them again: 522 and 331 MB after a restart, one owner after the other. Each request is within the limits of a request. Cause: any node stores a job without asking what the owner can hold, and the owner applies whatever is stored. Change: sched.StateBytes estimates the memory of a job's state; stateBudget counts at the owner what is known and what is being accepted, up to a quarter of the memory (16 MB at least). A workspace may hold as much as it leaves to all others, and eight times that in jobs of up to 64 KB. Polls tell the other nodes what is left; together they may accept half of it in 2 s, beyond which they pass the job on to the owner, who decides exactly. A refusal is 503 with Retry-After of 5 to 14 s; nothing is written, and a job that an earlier request has stored gets 200. Why this works: nothing that is not admitted is stored, so neither this owner nor the next has to hold it. Ruled out: a bound on the number of jobs or tasks, since jobs differ by a factor of 10,000.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -31,6 +31,8 @@
 	// ErrBusy means that the store refused the write or could not be read. Nothing was
 	// written.
 	ErrBusy = errors.New("store refused the write")
+	// ErrFull means that there is no memory for the state of a job. Nothing was written.
+	ErrFull = errors.New("too many jobs")
 	// ErrOutcomeUnknown means that the write may have taken effect, or may still do so.
 	ErrOutcomeUnknown = errors.New("outcome is not known")
 )
@@ -150,6 +152,7 @@
 			g.EvacuatedZones, g.UnfitAccelerators, g.UnfitGangs = st.EvacuatedZones, st.UnfitAccelerators, st.UnfitGangs
 			g.StartWindow, g.StartsWaiting = st.StartWindow, st.StartsWaiting
 			g.OpenJobs, g.Unstarted, g.Placed, g.Quarantine, g.Silent = st.Open, st.Unstarted, st.Placed, st.Quarantined, st.Silent
+			g.StateBytes, g.StateLeft = st.StateBytes, st.StateLeft
 			g.Speeds = st.Speeds.ByName()
 		}
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -52,7 +52,7 @@
 
 // errorsByCode maps the error codes exchanged between nodes to errors.
 var errorsByCode = map[string]error{
-	"no-queue": ErrNoQueue, "key": ErrUnknownKey, "not-ready": ErrNotReady, "busy": ErrBusy,
+	"no-queue": ErrNoQueue, "key": ErrUnknownKey, "not-ready": ErrNotReady, "busy": ErrBusy, "full": ErrFull,
 	"unclear": ErrOutcomeUnknown, "invalid": model.ErrInvalid,
 }
 
@@ -78,7 +78,7 @@
 	askOwnerTimeout = 350 * time.Millisecond
 )
 
-// Serve serves a call. An error that wraps ErrNotReady or ErrBusy guarantees that nothing was
+// Serve serves a call. An error that wraps ErrNotReady, ErrBusy or ErrFull guarantees that nothing was
 // written; after ErrOutcomeUnknown the write may have taken effect.
 //
 // Each write is conditional on the absence of its own row, so it can be attempted here and
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -86,25 +86,43 @@
 		return fmt.Errorf("%w: the job takes %d bytes, want at most %d", model.ErrInvalid, len(value), maxWorkBytes)
 	}
 	row := rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(w.ID), Key: w.ID, Value: value}
+	admission, exact, err := n.Candidate.Admit(w.Workspace, sched.StateBytes(&w, len(value)))
+	if err != nil && exact {
+		return n.checkStored(ctx, row, err)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: this node may accept no more without the owner", ErrFull)
+	}
 	started := n.now()
 	row, repeated, err := n.commitIfAbsent(ctx, row)
+	if err != nil || repeated {
+		admission.NotStored()
+	}
 	if err != nil {
 		return err
 	}
 	took := n.now() - started
 	n.Log.Emit(event.WorkAccepted).Str("job", w.ID).Str("queue", g.Queue.Name).Str("workspace", g.Workspace).
 		Bool("repeated", repeated).Uint64("plan", g.Plan).Int64("took_ms", took.Milliseconds()).Send()
-	o := n.Candidate.LocalOwner()
-	switch {
-	case repeated:
-	case o != nil:
-		o.ApplyAccepted(row)
-	case took > relayDelay:
+	if !repeated && !admission.Stored(row) && took > relayDelay {
 		go n.notifyOwner(row)
 	}
 	return nil
 }
 
+// checkStored returns nil if the row of a job that can't be admitted was stored by an earlier request, and else ErrFull
+// with the reason.
+func (n *Node) checkStored(ctx context.Context, row rows.Row, reason error) error {
+	stored, err := n.Rows.Get(ctx, row.Table, row.Part, row.Key)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w: read job %s: %w", ErrOutcomeUnknown, reason, row.Key, err)
+	case stored.Version != 0:
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrFull, reason)
+}
+
 // commitIfAbsent writes a row if it is absent, with a limited number of attempts while the store refuses it.
 // It returns the row with its version; repeated reports that the row already existed.
 func (n *Node) commitIfAbsent(ctx context.Context, row rows.Row) (stored rows.Row, repeated bool, err error) {
--- a/internal/fakes/crowd.go
+++ b/internal/fakes/crowd.go
@@ -137,7 +137,8 @@
 			break
 		}
 		_, err = io.Copy(io.Discard, resp.Body)
-		if resp.Body.Close(); err != nil || resp.Close {
+		_ = resp.Body.Close()
+		if err != nil || resp.Close {
 			break
 		}
 	}
--- a/internal/guard/sizes.go
+++ b/internal/guard/sizes.go
@@ -34,6 +34,10 @@
 	peerFds   = 1.0 / 8
 	// ReadinessConns bounds the connections to readiness and metrics.
 	ReadinessConns = 48
+	// statePart is the part of the memory for the state of the jobs that an owner knows, and minState the least, which has
+	// room for two of the largest jobs. A heap that is collected once it has grown by half takes half as much again.
+	statePart = 1.0 / 4
+	minState  = 16 << 20
 	// heapPart is the part of the memory that the heap may take before garbage is collected more often. The others are
 	// for stacks and the program itself.
 	heapPart = 0.85
@@ -74,6 +78,9 @@
 // PeerBytes returns the bytes of unfinished messages that other nodes may have in this one.
 func (l Limits) PeerBytes() int64 { return int64(l.memory() * peerPart) }
 
+// State returns the bytes that the state of an owner's jobs may take.
+func (l Limits) State() int64 { return max(minState, int64(l.memory()*statePart)) }
+
 // Apply makes the runtime collect garbage more often when the heap comes near the limit. It does nothing if no memory is given.
 func (l Limits) Apply() {
 	if l.MemoryMB > 0 {
--- a/internal/leader/follow.go
+++ b/internal/leader/follow.go
@@ -76,7 +76,8 @@
 
 // applyWorkRow applies a row of WorkTable: an accepted job, with its stored record if there is one, or a
 // cancellation. A row that was read before its job was removed is ignored: without a record the job would run again.
-func (o *Owner) applyWorkRow(r rows.Row, record []byte) {
+// Unless must is set, a job for which there is no memory is left to the feed.
+func (o *Owner) applyWorkRow(r rows.Row, record []byte, must bool) {
 	if removed := o.removed[strings.TrimSuffix(r.Key, CancelSuffix)]; r.Version < removed {
 		o.lead.Log.Emit(event.RowStale).Str("key", r.Key).Uint64("version", r.Version).Uint64("removed", removed).Int64("epoch", o.epoch).Send()
 		return
@@ -95,18 +96,26 @@
 		o.lead.Log.Emit(event.RowCorrupt).Str("table", WorkTable).Str("key", r.Key).Err(err).Send()
 		return
 	}
+	size := sched.StateBytes(w, len(r.Value))
+	if !must && !o.budget.reserve(w.Workspace, size) {
+		return
+	}
+	if must {
+		o.budget.change(w.Workspace, size)
+	}
 	j, err := sched.Restore(w, record)
 	if err != nil {
+		o.budget.change(w.Workspace, -size)
 		o.lead.Log.Emit(event.RowCorrupt).Str("table", RecordTable).Str("key", r.Key).Err(err).Send()
 		return
 	}
-	o.work[r.Key] = w
+	o.work[r.Key], o.stateBytes[r.Key] = w, size
 	if !j.Open() {
 		o.finals[r.Key] = j.Final
 	}
 	o.engine.Add(j, o.moment())
 	if _, cancelled := o.earlyCancels[w.ID]; cancelled {
-		delete(o.earlyCancels, w.ID)
+		o.forgetEarlyCancel(w.ID)
 		o.engine.Cancel(w.ID, o.moment())
 	}
 }
@@ -116,35 +125,56 @@
 	if o.work[id] == nil {
 		if _, known := o.earlyCancels[id]; !known {
 			o.earlyCancels[id] = o.lead.now()
+			o.budget.change("", cancelState)
 		}
 		return
 	}
 	o.engine.Cancel(id, o.moment())
 }
 
+// forgetEarlyCancel forgets the cancellation of a job that was not known, if there is one.
+func (o *Owner) forgetEarlyCancel(id string) {
+	if _, known := o.earlyCancels[id]; known {
+		delete(o.earlyCancels, id)
+		o.budget.change("", -cancelState)
+	}
+}
+
 // applyWorkPage applies rows of WorkTable that have no record yet and requests a scheduling pass. With them all changes
 // up to a version of the store have been read, so that no later read shows what was removed before.
 func (o *Owner) applyWorkPage(rs []rows.Row, reached uint64) {
 	for _, r := range rs {
-		o.applyWorkRow(r, nil)
+		o.applyWorkRow(r, nil, true)
 	}
 	o.followed = max(o.followed, reached)
 	maps.DeleteFunc(o.removed, func(_ string, version uint64) bool { return version <= o.followed })
 	o.passDue = o.passDue || len(rs) > 0
 }
 
-// ApplyAccepted applies a job or cancellation that a node has just made durable, before the feed delivers it. It
-// does not block. A row that the feed has delivered already is ignored, since the job may have been removed since.
+// ApplyAccepted applies a job or cancellation that another node has just made durable, before the feed delivers it. It
+// does not block. It leaves the row to the feed while the loop is busy or there is no memory for the job.
 func (o *Owner) ApplyAccepted(r rows.Row) {
+	waiting := int64(len(r.Value)) + cancelState
+	if !o.budget.reserve("", waiting) {
+		return
+	}
 	apply := func() {
-		// Until the stored state has been read the job's record is not known.
-		if o.rebuilt.Load() && r.Version > o.followed {
-			o.applyWorkRow(r, nil)
-			o.passDue = true
-		}
+		o.budget.change("", -waiting)
+		o.applyNoted(r, false)
 	}
 	select {
 	case o.inbox <- apply:
-	default: // the inbox is full; the feed delivers the row
+	default: // the inbox is full
+		o.budget.change("", -waiting)
+	}
+}
+
+// applyNoted applies, in the loop, a row that a node has stored. A row that the feed has delivered already is ignored,
+// since the job may have been removed since.
+func (o *Owner) applyNoted(r rows.Row, must bool) {
+	// Until the stored state has been read the job's record is not known.
+	if o.rebuilt.Load() && r.Version > o.followed {
+		o.applyWorkRow(r, nil, must)
+		o.passDue = true
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -176,6 +176,10 @@
 	Most float64 `json:"most,omitempty"`
 	// Nodes is about how many nodes poll the owner.
 	Nodes int `json:"nodes,omitempty"`
+	// Bounded means that the memory for the state of jobs is bounded, and Free is how much the owner has left, in bytes; it
+	// may be negative.
+	Bounded bool  `json:"bounded,omitempty"`
+	Free    int64 `json:"free,omitempty"`
 }
 
 // Bounds are the platform's limits that the owner relies on.
@@ -219,11 +223,14 @@
 	Evacuations func() Evacuations
 	// Poll polls the node at addr.
 	Poll func(ctx context.Context, addr string) (Pulse, error)
+	// StateLimit bounds the memory for the state of the jobs that this node knows as the owner, in bytes; 0 means no bound.
+	StateLimit int64
 	// Now is the steady clock; nil means clock.Boot.
 	Now func() time.Duration
 	// WallMs is the time of day in Unix ms; nil means the machine's clock.
 	WallMs func() int64
 
+	allowance allowance
 	nonce     uint64
 	resigned  atomic.Bool
 	ownerAddr atomic.Pointer[string]
@@ -312,6 +319,7 @@
 // ends with ctx.
 func (l *Candidate) Run(ctx context.Context) {
 	l.nonce = rand.Uint64()
+	l.allowance.setUnknown(l.StateLimit)
 	defer func() {
 		if o := l.lastOwner(); o != nil {
 			o.cancel()
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -68,7 +68,9 @@
 	committedVersion atomic.Uint64
 
 	engine       sched.Engine
-	work         map[string]*model.Work   // every known job's specification, by id
+	work         map[string]*model.Work // every known job's specification, by id
+	budget       stateBudget
+	stateBytes   map[string]int64         // what the known jobs take of budget, by id
 	finals       map[string]sched.State   // durable final states
 	earlyCancels map[string]time.Duration // cancellations of jobs that are not known, by id, with when they became known
 	// followed is the version of the store up to which all changes of WorkTable have been applied. removed has the
@@ -149,7 +151,7 @@
 		lead: l, epoch: row.Epoch, takenAt: sent, row: row, rowVersion: version, ctx: ctx, cancel: cancel,
 		inbox: make(chan func(), inboxSize), work: map[string]*model.Work{}, finals: map[string]sched.State{},
 		earlyCancels: map[string]time.Duration{}, removed: map[string]uint64{}, sessions: map[string]*session{}, confirmedRuns: map[sched.TaskRef]startOutcome{},
-		dirtyJobs: map[string]bool{}, silentAt: map[string]*session{},
+		dirtyJobs: map[string]bool{}, silentAt: map[string]*session{}, budget: stateBudget{limit: l.StateLimit}, stateBytes: map[string]int64{},
 	}
 	o.committedAt.Store(int64(sent))
 	o.committedVersion.Store(version)
@@ -382,7 +384,7 @@
 	o.tick()
 	o.followed = stored.work.Version
 	for _, r := range stored.work.Rows {
-		o.applyWorkRow(r, records[r.Key])
+		o.applyWorkRow(r, records[r.Key], true)
 		delete(records, r.Key)
 	}
 	for id := range records {
@@ -488,6 +490,8 @@
 	StartWindow, StartsWaiting int
 	// EvacuatedZones counts the evacuated zones; UnfitAccelerators and UnfitGangs are what no longer fits in the others.
 	EvacuatedZones, UnfitAccelerators, UnfitGangs int
+	// StateBytes and StateLeft are the bytes that the state of the jobs takes and may take in addition.
+	StateBytes, StateLeft int64
 }
 
 // Stats returns the owner's statistics; ok is false if the owner has ended or ctx ends first.
@@ -495,6 +499,7 @@
 	ok = o.postAndWait(ctx, func() {
 		st = Stats{Stats: o.engine.Stats(o.moment()), StartWindow: o.starts.size(), StartsWaiting: len(o.pendingStarts) + len(o.readyStarts)}
 		o.shortfallStats(&st)
+		st.StateBytes, st.StateLeft = o.budget.used(), o.budget.left()
 	})
 	return st, ok
 }
--- a/internal/leader/poll.go
+++ b/internal/leader/poll.go
@@ -15,7 +15,7 @@
 	}
 	return Pulse{
 		Owner: true, Epoch: o.epoch, AgeMs: o.commitAge().Milliseconds(), Version: o.committedVersion.Load(), Addr: l.Addr, Most: most,
-		Nodes: l.countPoll(), Stuck: o.turnedAway(l.now()),
+		Nodes: l.countPoll(), Stuck: o.turnedAway(l.now()), Bounded: o.budget.limit > 0 && o.rebuilt.Load(), Free: o.budget.left(),
 	}
 }
 
@@ -77,6 +77,7 @@
 	if p.Owner {
 		l.polledVersion, l.polledVersionAt = p.Version, asked-time.Duration(p.AgeMs)*time.Millisecond
 		l.peerCores, l.peerCoresAt = p.Most, asked
+		l.allowance.polled(p, asked)
 		l.mu.Lock()
 		l.nodeCount = p.Nodes
 		l.mu.Unlock()
--- a/internal/leader/purge.go
+++ b/internal/leader/purge.go
@@ -90,7 +90,11 @@
 	for _, r := range removals {
 		for _, id := range r.ids {
 			o.engine.Forget(id)
+			if w := o.work[id]; w != nil {
+				o.budget.change(w.Workspace, -o.stateBytes[id])
+			}
 			delete(o.work, id)
+			delete(o.stateBytes, id)
 			delete(o.finals, id)
 			o.removed[id] = r.version
 			o.pendingDeletes = append(o.pendingDeletes, rows.Row{Table: RecordTable, Key: id})
@@ -102,7 +106,7 @@
 func (o *Owner) forgetCancels(removals []removal) {
 	for _, r := range removals {
 		for _, id := range r.ids {
-			delete(o.earlyCancels, id)
+			o.forgetEarlyCancel(id)
 			o.removed[id] = r.version
 		}
 	}
--- a/internal/metric/work.go
+++ b/internal/metric/work.go
@@ -37,6 +37,8 @@
 	// TooLarge, NoMemory, Stalled and Crowded count the clients that were refused or cut off, HeldBytes the bytes of
 	// requests that the node holds.
 	TooLarge, NoMemory, Stalled, Crowded, HeldBytes int64
+	// StateBytes and StateLeft are the bytes that the state of the owner's jobs takes, and how many more it may take.
+	StateBytes, StateLeft int64
 }
 
 // Work holds the instruments of a node on the platform. A nil Work records nothing.
@@ -86,6 +88,8 @@
 	{"clients_stalled_total", "Connections closed because an unfinished request held memory that others needed."},
 	{"clients_crowded_total", "Connections closed for newer ones because there were too many."},
 	{"request_bytes_held", "Bytes held by bodies of requests and by unfinished messages of nodes."},
+	{"job_state_bytes", "Bytes that the state of the jobs takes, at the owner."},
+	{"job_state_left_bytes", "Bytes that the state of further jobs may take, at the owner."},
 	{"log_lines_dropped_total", "Log lines dropped because the output stood still."},
 }
 
@@ -183,6 +187,8 @@
 		"clients_no_memory_total":       func(g WorkGauges) float64 { return float64(g.NoMemory) },
 		"clients_stalled_total":         func(g WorkGauges) float64 { return float64(g.Stalled) },
 		"clients_crowded_total":         func(g WorkGauges) float64 { return float64(g.Crowded) },
+		"job_state_bytes":               func(g WorkGauges) float64 { return float64(g.StateBytes) },
+		"job_state_left_bytes":          func(g WorkGauges) float64 { return float64(g.StateLeft) },
 		"request_bytes_held":            func(g WorkGauges) float64 { return float64(g.HeldBytes) },
 	} {
 		_, err := m.Float64ObservableGauge(name, metric.WithDescription(description(name)),
