edge: a path that no job can have does not reach the store

A DELETE of a path of more than 200 bytes behind its queue made the store refuse the key. The node took the store for failing, for up to a second: it passed ordinary jobs on to the owner, which in the same state refuses them, and it could not own the work. A client that repeats it keeps ordinary callers of that node from being served. A GET of ID/x, the key of a cancellation, showed a job that nobody had submitted. Cause: the id was checked when a job is submitted, not when it is cancelled or looked up. Why this works: such a key is never sent, so the store has nothing to refuse.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -41,6 +41,9 @@
 	rangeReads int
 }
 
+// maxKeyBytes is the longest key that the store takes.
+const maxKeyBytes = 200
+
 func (s *fakeStore) viewOf(node string) *rows.Store {
 	checkBlock := func(ctx context.Context) error {
 		s.mu.Lock()
@@ -63,6 +66,9 @@
 			if err := s.waitTurn(ctx, t); err != nil {
 				return 0, nil, err
 			}
+			if slices.ContainsFunc(slices.Concat(t.Conditions, t.Put), func(r rows.Row) bool { return len(r.Key) > maxKeyBytes }) {
+				return 0, nil, rows.ErrRefused
+			}
 			return s.commit(t)
 		},
 		Range: func(ctx context.Context, table, part, from, to string) (rows.Page, error) {
@@ -501,6 +507,28 @@
 	})
 }
 
+// Guards against a path that no job can have, whose key the store refuses: the node would take the store for failing and
+// refuse ordinary callers.
+func TestPathThatNoJobHasIsNotStored(t *testing.T) {
+	for name, id := range map[string]string{"long": strings.Repeat("x", 300), "empty": "", "of a cancellation": "a/x", "with spaces": "a b"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := startPair(t)
+				p.connected.Store(false)
+				for _, op := range []Op{Cancel, State} {
+					reply, err := p.edge.Serve(context.Background(), call(op, id))
+					is.NoErr(err)
+					is.True(!reply.Found && !reply.Look.Known)
+				}
+				is.Equal(len(p.store.find(func(r rows.Row) bool { return r.Table == leader.WorkTable }).Rows), 0)
+				_, err := p.edge.Serve(context.Background(), call(Submit, "ordinary"))
+				is.NoErr(err)
+			})
+		})
+	}
+}
+
 // Guards against jobs that are accepted until the owner runs out of memory, and against a refusal of a job that an earlier
 // request has stored.
 func TestJobsAreRefusedWithoutMemoryForTheirState(t *testing.T) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -166,6 +166,9 @@
 	id := strings.TrimPrefix(c.Path, g.Queue.Prefix)
 	var r Reply
 	var err error
+	if (c.Op == State || c.Op == Cancel) && model.CheckWorkID(id) != nil {
+		return r, nil // there can be no such job
+	}
 	switch c.Op {
 	case Submit:
 		c.Work.ID = id
