edge: cancellations of unknown jobs count against the owner's memory

Seen: by a test: 1,000 cancellations of jobs that do not exist were all stored, and the owner keeps each for two retention times (240 s on the sites). Cause: a cancellation of an unknown job is kept since the job may still arrive; nothing bounds how many. Change: such a cancellation is admitted like a job of 0.5 KB, and refused with 503 when there is no room. Cancellations of jobs that exist are not counted and always stored. Why this works: the row is not written unless the owner can hold it. Figures: TestCancellationsOfUnknownJobsAreBounded, red before.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -529,6 +529,25 @@
 	}
 }
 
+// Pattern: a caller cancels jobs that do not exist, without end. Guards against an owner that keeps all of these.
+func TestCancellationsOfUnknownJobsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := startPair(t, func(p *nodePair) {
+			p.owner.Candidate.StateLimit, p.edge.Candidate.StateLimit = 64<<10, 64<<10
+		})
+		_, err := p.edge.Serve(context.Background(), call(Submit, "known"))
+		is.NoErr(err)
+		for i := 0; err == nil && i < 1000; i++ {
+			_, err = p.edge.Serve(context.Background(), call(Cancel, fmt.Sprintf("j%d", i)))
+		}
+		is.True(errors.Is(err, ErrFull))
+		reply, err := p.edge.Serve(context.Background(), call(Cancel, "known"))
+		is.NoErr(err)
+		is.True(reply.Found) // a job that exists can be cancelled
+	})
+}
+
 // Guards against jobs that are accepted until the owner runs out of memory, and against a refusal of a job that an earlier
 // request has stored.
 func TestJobsAreRefusedWithoutMemoryForTheirState(t *testing.T) {
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -180,6 +180,9 @@
 		return false, fmt.Errorf("%w: %w", ErrBusy, err)
 	}
 	row := rows.Row{Table: leader.WorkTable, Part: leader.WorkPart(id), Key: id + leader.CancelSuffix, Value: []byte("{}")}
+	if work.Version == 0 {
+		return false, n.cancelUnknown(ctx, row)
+	}
 	row, _, err = n.commitIfAbsent(ctx, row)
 	if err != nil {
 		return false, err
@@ -189,8 +192,26 @@
 	} else {
 		go n.notifyOwner(row)
 	}
-	n.Log.Emit(event.WorkCancelled).Str("job", id).Bool("found", work.Version != 0).Send()
-	return work.Version != 0, nil
+	n.Log.Emit(event.WorkCancelled).Str("job", id).Bool("found", true).Send()
+	return true, nil
+}
+
+// cancelUnknown stores the cancellation of a job that is not known. The owner keeps it until the job can no longer arrive.
+func (n *Node) cancelUnknown(ctx context.Context, row rows.Row) error {
+	admission, _, err := n.Candidate.AdmitCancel()
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrFull, err)
+	}
+	row, repeated, err := n.commitIfAbsent(ctx, row)
+	if err != nil || repeated {
+		admission.NotStored()
+		return err
+	}
+	if !admission.Stored(row) {
+		go n.notifyOwner(row)
+	}
+	n.Log.Emit(event.WorkCancelled).Str("job", strings.TrimSuffix(row.Key, leader.CancelSuffix)).Bool("found", false).Send()
+	return nil
 }
 
 // look returns a job's state: from the owner if it runs on this node and knows the job, else
