relay: the orders that a node carries are bounded over all streams

Seen: 120 streams on 6 connections to the nodes' port, each with 4,000 orders to workers at an address that doesn't answer, took 140 to 168 MB of 128 and 272 to 928 descriptors of 500; with 3 connections up to 205 MB and 1,657. Cause: a carrier bounded the orders in hand for each stream (4,096), not together; each had room for 4,096 answers from the start; the workers were remembered for 30 s, however many. Change: Carrier.MaxOrders bounds the orders in hand in all streams and the workers that are remembered, a quarter of the descriptors on the platform; 256 answers wait to be sent; a fifth stream ends the one that has had no orders for the longest time; names and addresses of workers have at most 256 bytes. Why this works: an order in hand takes at most one connection, and a remembered worker's idle ones are closed with it. An owner has one stream, with at most 1,000 workers for each core of the carrier, each with a hold or two in hand.

--- a/internal/guard/sizes.go
+++ b/internal/guard/sizes.go
@@ -32,6 +32,8 @@
 	// for the store and the workers.
 	callerFds = 1.0 / 4
 	peerFds   = 1.0 / 8
+	// carriedFds is the part of the descriptors for the workers to which a node carries orders of others.
+	carriedFds = 1.0 / 4
 	// ReadinessConns bounds the connections to readiness and metrics.
 	ReadinessConns = 48
 	// statePart is the part of the memory for the state of the jobs that an owner knows, and minState the least, which has
@@ -75,6 +77,9 @@
 	return int(math.Min(l.fds()*peerFds, l.memory()*peerConnPart/peerConnBytes))
 }
 
+// CarriedOrders returns the most orders of other nodes that a node may have in hand, each of which may take a connection.
+func (l Limits) CarriedOrders() int { return max(1, int(l.fds()*carriedFds)) }
+
 // PeerBytes returns the bytes of unfinished messages that other nodes may have in this one.
 func (l Limits) PeerBytes() int64 { return int64(l.memory() * peerPart) }
 
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"greengageline/internal/clock"
 	"greengageline/internal/orders"
 	"greengageline/internal/sched"
@@ -25,8 +27,12 @@
 	// ackMaxAge is how long after a worker's answer the next hold may acknowledge ends: less than a worker takes to
 	// start again.
 	ackMaxAge = 100 * time.Millisecond
-	// maxInHand bounds the orders that a carrier has in hand in one stream; further ones wait in the stream.
-	maxInHand = 4096
+	// defaultMaxOrders bounds the orders that a carrier has in hand; further ones wait in their streams.
+	defaultMaxOrders = 4096
+	// maxStreams bounds the streams: one for the owner, and some for earlier ones that do not know yet of the next.
+	maxStreams = 4
+	// maxWaitingAnswers bounds the answers that wait to be sent in one stream; with more, orders stay in hand.
+	maxWaitingAnswers = 256
 	// idleWorkerAge is how long after the last order to a worker its connections are closed.
 	idleWorkerAge = 30 * time.Second
 )
@@ -43,11 +49,67 @@
 	Fleet *orders.Fleet
 	// Now is the steady clock, which must count the time for which this machine was suspended; nil means clock.Boot.
 	Now func() time.Duration
+	// MaxOrders bounds the orders in hand in all streams together, and the workers that are remembered; 0 means 4,096.
+	MaxOrders int
+
+	// inHand has an element for each order in hand.
+	inHand     chan struct{}
+	inHandOnce sync.Once
 
 	mu sync.Mutex
 	// workers is guarded by mu: what is known of the workers to which orders were carried, by id and address.
 	workers map[string]*contact
 	sweptAt time.Duration // guarded by mu
+	// streams is guarded by mu, and so are the fields of its elements.
+	streams map[*inbound]struct{}
+}
+
+// inbound is an open stream of an owner.
+type inbound struct {
+	cancel context.CancelFunc
+	usedAt time.Duration // when orders came last
+}
+
+func (c *Carrier) maxOrders() int {
+	if c.MaxOrders > 0 {
+		return c.MaxOrders
+	}
+	return defaultMaxOrders
+}
+
+// orderSlots returns the channel that bounds the orders in hand.
+func (c *Carrier) orderSlots() chan struct{} {
+	c.inHandOnce.Do(func() { c.inHand = make(chan struct{}, c.maxOrders()) })
+	return c.inHand
+}
+
+// open adds a stream. If there are too many, it ends the one that has had no orders for the longest time.
+func (c *Carrier) open(cancel context.CancelFunc) *inbound {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.streams) >= maxStreams {
+		oldest := lo.MinBy(lo.Keys(c.streams), func(a, b *inbound) bool { return a.usedAt < b.usedAt })
+		oldest.cancel()
+		delete(c.streams, oldest)
+	}
+	s := &inbound{cancel: cancel, usedAt: c.now()}
+	if c.streams == nil {
+		c.streams = map[*inbound]struct{}{}
+	}
+	c.streams[s] = struct{}{}
+	return s
+}
+
+func (c *Carrier) closeStream(s *inbound) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.streams, s)
+}
+
+func (c *Carrier) noteOrders(s *inbound) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.usedAt = c.now()
 }
 
 // contact is what a carrier knows of a worker.
@@ -66,11 +128,13 @@
 	return clock.Boot()
 }
 
-// Serve carries the orders of one stream until it ends, and returns why it did.
+// Serve carries the orders of one stream until it ends or gives way to another, and returns why it did.
 func (c *Carrier) Serve(ctx context.Context, s Sink) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	out := make(chan Answer, maxInHand)
+	opened := c.open(cancel)
+	defer c.closeStream(opened)
+	out := make(chan Answer, min(c.maxOrders(), maxWaitingAnswers))
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
@@ -80,12 +144,20 @@
 	}()
 	defer wg.Wait()
 	defer cancel()
-	inHand := make(chan struct{}, maxInHand)
+	inHand := c.orderSlots()
+	received := receive(ctx, s)
 	for {
-		var b Batch
-		if err := s.Recv(&b); err != nil {
-			return fmt.Errorf("receive orders: %w", err)
+		var r receivedBatch
+		select {
+		case r = <-received:
+		case <-ctx.Done():
+			return fmt.Errorf("carry orders: %w", ctx.Err())
 		}
+		if r.err != nil {
+			return fmt.Errorf("receive orders: %w", r.err)
+		}
+		b := &r.batch
+		c.noteOrders(opened)
 		c.forgetIdle()
 		for i := range b.Orders {
 			o := b.Orders[i]
@@ -110,6 +182,33 @@
 	}
 }
 
+// receivedBatch is a message of the owner, or why none came.
+type receivedBatch struct {
+	batch Batch
+	err   error
+}
+
+// receive returns a channel of what comes in the stream. A stream that gives way to another ends while it waits for a
+// message, so the waiting is done in the background.
+func receive(ctx context.Context, s Sink) <-chan receivedBatch {
+	out := make(chan receivedBatch)
+	go func() {
+		for {
+			var r receivedBatch
+			r.err = s.Recv(&r.batch)
+			select {
+			case out <- r:
+			case <-ctx.Done():
+				return
+			}
+			if r.err != nil {
+				return
+			}
+		}
+	}()
+	return out
+}
+
 // sendAnswers sends the answers, several in one message, and a message without any in time.
 func (c *Carrier) sendAnswers(ctx context.Context, s Sink, out <-chan Answer) {
 	ticker := time.NewTicker(tickInterval)
@@ -211,6 +310,9 @@
 	key := e.Addr + " " + e.ID
 	w := c.workers[key]
 	if w == nil {
+		if len(c.workers) >= c.maxOrders() {
+			c.forgetOldest()
+		}
 		w = &contact{entry: e}
 		if c.workers == nil {
 			c.workers = map[string]*contact{}
@@ -255,12 +357,28 @@
 	}
 	c.sweptAt = now
 	for key, w := range c.workers {
-		if now-w.usedAt < idleWorkerAge {
-			continue
+		if now-w.usedAt >= idleWorkerAge {
+			c.forget(key, w)
 		}
-		delete(c.workers, key)
-		if c.Fleet.Forget != nil {
-			c.Fleet.Forget(w.entry)
+	}
+}
+
+// forgetOldest closes the connections to the worker that has had no order for the longest time; the caller holds mu.
+func (c *Carrier) forgetOldest() {
+	var oldest *contact
+	key := ""
+	for k, w := range c.workers {
+		if oldest == nil || w.usedAt < oldest.usedAt {
+			oldest, key = w, k
 		}
 	}
+	c.forget(key, oldest)
+}
+
+// forget forgets a worker; the caller holds mu.
+func (c *Carrier) forget(key string, w *contact) {
+	delete(c.workers, key)
+	if c.Fleet.Forget != nil {
+		c.Fleet.Forget(w.entry)
+	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -70,13 +70,16 @@
 	Payloads []string `json:"p,omitempty"`
 }
 
+// maxNameBytes bounds the name and the address of a worker. The store has keys of up to 200 bytes.
+const maxNameBytes = 256
+
 // Check returns an error that wraps model.ErrInvalid if an order lacks its worker, has an unknown kind or names no
 // payload.
 func (b *Batch) Check() error {
 	for i := range b.Orders {
 		o := &b.Orders[i]
-		if o.Worker == "" || o.Addr == "" {
-			return fmt.Errorf("order %d without a worker or its address: %w", o.N, model.ErrInvalid)
+		if o.Worker == "" || o.Addr == "" || len(o.Worker) > maxNameBytes || len(o.Addr) > maxNameBytes {
+			return fmt.Errorf("order %d without a worker or its address, or with too long ones: %w", o.N, model.ErrInvalid)
 		}
 		switch o.Kind {
 		case HoldKind, StopKind:
