edge, leader: what nodes tell about themselves is bounded

Seen: 1,200 polls of nodes with addresses of 250 KB, one after the other on 12 connections, took 243 to 322 MB of 128 at a node that isn't the owner. Cause: each poll that offers to carry orders records its sender's address, of any length; only an owner forgets them. Change: names and addresses in a poll have at most 256 bytes; a node that isn't the owner records no senders; an owner records at most 4,096, after it has forgotten those that poll no more. A note of a row that no job can have is refused. Why this works: nothing of a poll is kept that isn't needed, and what is kept has a bound.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -269,6 +269,17 @@
 	Cores float64 `json:"cores"`
 }
 
+// maxPeerNameBytes bounds the name and the address of a node in a message.
+const maxPeerNameBytes = 256
+
+// Check returns an error that wraps model.ErrInvalid if the sender's name or address is too long.
+func (r *pulseRequest) Check() error {
+	if len(r.From) > maxPeerNameBytes || len(r.Addr) > maxPeerNameBytes {
+		return fmt.Errorf("poll with a name of %d and an address of %d bytes: %w", len(r.From), len(r.Addr), model.ErrInvalid)
+	}
+	return nil
+}
+
 // Server returns the gRPC server that serves calls from other nodes.
 func (n *Node) Server() *grpc.Server {
 	return peer.NewServerWithStreams(n.Peers, []grpc.StreamDesc{peer.Stream("Carry", n.serveCarry)},
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -262,6 +262,14 @@
 	Version uint64 `json:"version"`
 }
 
+// Check returns an error that wraps model.ErrInvalid if there can be no such row.
+func (r *noteRequest) Check() error {
+	if len(r.Work) > maxWorkBytes {
+		return fmt.Errorf("note of a row of %d bytes: %w", len(r.Work), model.ErrInvalid)
+	}
+	return model.CheckWorkID(strings.TrimSuffix(r.ID, leader.CancelSuffix))
+}
+
 // notifyOwner notifies the owner of a job or a cancellation that was just stored. The owner's feed may be slow, or may
 // wait on a dead connection.
 func (n *Node) notifyOwner(row rows.Row) {
--- a/internal/leader/carry.go
+++ b/internal/leader/carry.go
@@ -25,6 +25,8 @@
 	carrierInterval = time.Second
 	// carrierPolls is how many polls a node may miss before it carries no more.
 	carrierPolls = 4
+	// maxPeers bounds the nodes that may carry orders.
+	maxPeers = 4096
 	// carriedStartAge is the age of the last commit up to which starts are carried. After that an owner may be cut
 	// off from the store, and what it does not know of is not for others to carry out.
 	carriedStartAge = time.Second
@@ -41,28 +43,43 @@
 	at    time.Duration // when it polled last
 }
 
-// NotePeer records that the node at addr, with a number of cores, has polled this one and may carry its orders.
+// NotePeer records that the node at addr, with a number of cores, has polled this one and may carry its orders. While this
+// node is not the owner it has none to carry, and polls that come by mistake are not recorded.
 func (l *Candidate) NotePeer(addr string, cores float64) {
+	if l.LocalOwner() == nil {
+		return
+	}
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.peers == nil {
 		l.peers = map[string]peer{}
 	}
+	if _, known := l.peers[addr]; !known && len(l.peers) >= maxPeers {
+		l.forgetSilentPeers(now)
+		if len(l.peers) >= maxPeers {
+			return
+		}
+	}
 	l.peers[addr] = peer{addr, cores, now}
 }
 
-// livePeers returns the nodes that have polled lately, the largest first, and forgets the others.
-func (l *Candidate) livePeers() []peer {
-	now := l.now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// forgetSilentPeers forgets the nodes that have not polled lately; the caller holds mu.
+func (l *Candidate) forgetSilentPeers(now time.Duration) {
 	limit := carrierPolls * pollIntervalFor(l.nodeCount)
 	for addr, p := range l.peers {
 		if now-p.at > limit {
 			delete(l.peers, addr)
 		}
 	}
+}
+
+// livePeers returns the nodes that have polled lately, the largest first, and forgets the others.
+func (l *Candidate) livePeers() []peer {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgetSilentPeers(now)
 	out := lo.Values(l.peers)
 	slices.SortFunc(out, func(a, b peer) int {
 		return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(xxhash.Sum64String(a.addr), xxhash.Sum64String(b.addr)), cmp.Compare(a.addr, b.addr))
