guard, jobapi: requests that wait for the end of a job give way

Cause: a connection whose request is being served never gives way, and a handler that waits does not see that its client has gone. Change: guard.Wait marks a request that waits for an event. If no connection waits for a request, the one that has waited the longest for an event gives way, and its wait ends with the connection. The status route uses it. Why this works: a new connection always finds one that gives way, unless all are at work.

--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -59,6 +60,20 @@
 	return c.Next()
 }
 
+// Wait marks that the request of c waits for an event. While it does, its connection may give way to another, which ends the
+// returned context. The caller must call done once the wait is over.
+func Wait(ctx context.Context, c *fiber.Ctx) (waiting context.Context, done func()) {
+	conn := connOf(c.Context())
+	if conn == nil {
+		return ctx, func() {}
+	}
+	waiting, cancel := conn.park(ctx)
+	return waiting, func() {
+		conn.unpark()
+		cancel()
+	}
+}
+
 func connOf(ctx *fasthttp.RequestCtx) *Conn {
 	conn, _ := ctx.Conn().(*Conn)
 	return conn
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -102,6 +102,37 @@
 	is.True(errors.Is(err, net.ErrClosed)) // other errors are returned
 }
 
+// Guards against requests that wait for an event and shut out others, and against waits that go on without a connection.
+func TestConnectionsThatWaitGiveWay(t *testing.T) {
+	is := is.New(t)
+	l := NewListener(nil, 2, &Counters{})
+	add := func() *Conn {
+		ours, _ := net.Pipe()
+		c := &Conn{Conn: ours, listener: l}
+		c.waitsSince.Store(time.Now().UnixNano())
+		is.True(l.add(c))
+		return c
+	}
+	waiting := add()
+	waiting.busy.Store(true)
+	ctx, cancel := waiting.park(t.Context())
+	defer cancel()
+	add()
+	add() // the idle one gives way before one with a request
+	is.NoErr(ctx.Err())
+	for c := range l.conns {
+		c.busy.Store(c != waiting)
+	}
+	add()
+	is.True(ctx.Err() != nil) // the wait has ended
+	_, open := l.conns[waiting]
+	is.True(!open)
+	waiting.unpark()
+	ctx, cancel = waiting.park(t.Context())
+	defer cancel()
+	is.True(ctx.Err() != nil) // no wait begins on a closed connection
+}
+
 // Guards against unfinished messages of nodes that hold memory without a bound, or for good, and against finished ones that
 // still count.
 func TestPeers(t *testing.T) {
--- a/internal/guard/listen.go
+++ b/internal/guard/listen.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -35,10 +36,16 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	// busy is set while a request is being served, and waitsSince is the Unix time in ns at which the connection began
-	// to wait for the present request.
+	// busy is set while a request is being served, unless it waits for an event, and waitsSince is the Unix time in ns at
+	// which the connection began to wait for the present request or event.
 	busy       atomic.Bool
 	waitsSince atomic.Int64
+	// parked is set while the request that is being served waits for an event. cancelWait, guarded by waitMu, then ends
+	// the wait; it is nil otherwise.
+	parked     atomic.Bool
+	waitMu     sync.Mutex
+	cancelWait context.CancelFunc
+	closed     bool // guarded by waitMu
 	// addr, the address of the client, and unfinished are used for connections of other nodes only.
 	addr       string
 	unfinished unfinished
@@ -108,22 +115,74 @@
 		return false
 	}
 	delete(l.conns, oldest)
+	oldest.endWait()
 	_ = oldest.Conn.Close()
 	l.Counters.Crowded.Add(1)
 	return true
 }
 
-// longestWaiting returns the connection that has waited for the longest time, nil if none waits; the caller holds mu.
+// longestWaiting returns the connection that has waited for a request for the longest time, else the one whose request has
+// waited for an event for the longest time, and nil if none waits; the caller holds mu.
 func (l *Listener) longestWaiting() *Conn {
-	var oldest *Conn
+	var oldest, parked *Conn
 	for c := range l.conns {
-		if !c.busy.Load() && (oldest == nil || c.waitsSince.Load() < oldest.waitsSince.Load()) {
-			oldest = c
+		switch {
+		case c.busy.Load():
+		case c.parked.Load():
+			parked = c.earlier(parked)
+		default:
+			oldest = c.earlier(oldest)
 		}
 	}
+	if oldest == nil {
+		return parked
+	}
 	return oldest
 }
 
+// earlier returns which of c and o, which may be nil, has waited longer.
+func (c *Conn) earlier(o *Conn) *Conn {
+	if o == nil || c.waitsSince.Load() < o.waitsSince.Load() {
+		return c
+	}
+	return o
+}
+
+// park marks that the request which is being served waits for an event until unpark is called. The returned context ends
+// with the connection, if that gives way to another.
+func (c *Conn) park(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.waitMu.Lock()
+	defer c.waitMu.Unlock()
+	if c.closed {
+		cancel()
+	}
+	c.cancelWait = cancel
+	c.waitsSince.Store(time.Now().UnixNano())
+	c.parked.Store(true)
+	c.busy.Store(false)
+	return ctx, cancel
+}
+
+// unpark ends what park began.
+func (c *Conn) unpark() {
+	c.busy.Store(true)
+	c.parked.Store(false)
+	c.waitMu.Lock()
+	defer c.waitMu.Unlock()
+	c.cancelWait = nil
+}
+
+// endWait ends the wait of a parked request.
+func (c *Conn) endWait() {
+	c.waitMu.Lock()
+	defer c.waitMu.Unlock()
+	c.closed = true
+	if c.cancelWait != nil {
+		c.cancelWait()
+	}
+}
+
 // Read reads from the connection. Its errors are those of the network, by which servers tell an end from a fault.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
@@ -136,6 +195,7 @@
 
 // Close closes the connection.
 func (c *Conn) Close() error {
+	c.endWait()
 	if p := c.listener.peers; p != nil {
 		p.closed(c)
 	}
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"greengageline/internal/cell"
+	"greengageline/internal/guard"
 	"greengageline/internal/node"
 	"greengageline/pkg/model"
 )
@@ -62,6 +63,11 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), limit)
 	defer cancel()
+	if wait > 0 {
+		var done func()
+		ctx, done = guard.Wait(ctx, c)
+		defer done()
+	}
 	job, err := a.Node.Job(ctx, c.Params("id"), wait > 0)
 	if err != nil {
 		return WriteError(c, err)
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -57,6 +57,12 @@
 	return lo.Must(cbor.Marshal(peer.Beat{Node: "n", Addr: addr}))
 }
 
+// waitingRequest is a short request that waits for a minute.
+var waitingRequest = func() []byte {
+	body := lo.Must(json.Marshal(model.RequestSpec{Workspace: "routes", Idempotent: true, DeadlineMs: 60_000}))
+	return postBody("/v1/requests", len(body), string(body))
+}()
+
 // longLeaving returns a heartbeat in CBOR that lists 256 leaving workers with names of 1 KB, others each time.
 func longLeaving(i, k int) []byte {
 	b := peer.Beat{Node: "n", Addr: "127.0.0.1:1"}
@@ -81,6 +87,8 @@
 		job   fakes.Work
 		ended bool
 		path  string
+		// callTime is how long the workers take for a short request; 0 means the default.
+		callTime time.Duration
 		// files is how many files of the largest size are added to the configuration before the crowd comes.
 		files int
 		// descriptors is how many descriptors the system lets the node have, fewer than its settings say; 0 means no limit.
@@ -93,6 +101,7 @@
 		"nodes' port, empty cells":       {peer: true, crowd: fakes.Crowd{Conns: 60, Method: "/greengageline.Peer/Beat", Message: []byte(beat), Calls: 30}},
 		"nodes' port, silence":           {peer: true, crowd: fakes.Crowd{Conns: 1400}},
 		"waiting for an end":             {crowd: fakes.Crowd{Conns: 300}, job: fakes.Work{RunMs: 600_000}, path: "?wait=60s"},
+		"waiting for a slot":             {crowd: fakes.Crowd{Conns: 400, Send: waitingRequest}, callTime: 10 * time.Minute},
 		"many short waits":               {crowd: fakes.Crowd{Conns: 50, Requests: 4000}, memory: smallMemoryMB, job: fakes.Work{RunMs: 600_000}, path: "?wait=1us"},
 		"large answers":                  {crowd: fakes.Crowd{Conns: 100}, job: fakes.Work{AnswerBytes: model.MaxAnswer}, ended: true, path: "/answer"},
 		"large payloads":                 {crowd: fakes.Crowd{Conns: 30, Request: largeJob, Requests: 40}, memory: smallMemoryMB},
@@ -112,6 +121,9 @@
 			}
 			cluster := newProcessCluster(t, 1, 4)
 			n := cluster.nodes[0]
+			for _, w := range cluster.workers {
+				w.CallTime = max(w.CallTime, c.callTime)
+			}
 			if c.files > 0 {
 				(&fakes.Crowd{Addr: n.listen, Conns: 1, Request: largeFile, Requests: c.files}).Run(n.cmd.Process.Pid)
 			}
