cell: callers that no longer wait for a job's end are forgotten

Cause: each request adds a channel to the job's watchers, which are kept until the job ends, also when the caller's wait is over. A job may run for hours. Change: a watcher is marked once nobody waits, and marked ones are removed each time the number of a job's watchers has doubled. Why this works: at most twice the callers that wait now, and 16, are kept.

--- a/internal/cell/api.go
+++ b/internal/cell/api.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 
@@ -142,11 +144,30 @@
 	o.stepEngine(place.Enqueue{Job: placeRequest(m.entry.Job)})
 }
 
-// jobQuery asks the loop for a job and, if ended is set, for its final state later.
-type jobQuery struct {
-	id    string
-	reply chan model.Job
+// watcher waits for the end of a job.
+type watcher struct {
 	ended chan model.Job
+	// left is set once nobody waits any more.
+	left atomic.Bool
+}
+
+// minWatchers is the least number of watchers of a job from which those that have left are removed.
+const minWatchers = 16
+
+// watch adds a watcher. Those that have left are removed each time the number has doubled.
+func (j *openJob) watch(w *watcher) {
+	if len(j.watchers) >= max(minWatchers, j.pruneAt) {
+		j.watchers = slices.DeleteFunc(j.watchers, func(w *watcher) bool { return w.left.Load() })
+		j.pruneAt = 2 * len(j.watchers)
+	}
+	j.watchers = append(j.watchers, w)
+}
+
+// jobQuery asks the loop for a job and, if watcher is set, for its final state later.
+type jobQuery struct {
+	id      string
+	reply   chan model.Job
+	watcher *watcher
 }
 
 func (m jobQuery) apply(o *Owner) {
@@ -159,8 +180,8 @@
 	if j.phase == phaseRunning && j.allRunning {
 		job.State = model.Running
 	}
-	if m.ended != nil {
-		j.watchers = append(j.watchers, m.ended)
+	if m.watcher != nil {
+		j.watch(m.watcher)
 	}
 	m.reply <- job
 }
@@ -171,7 +192,8 @@
 func (o *Owner) Job(ctx context.Context, id string, waitEnd bool) (model.Job, error) {
 	m := jobQuery{id: id, reply: make(chan model.Job, 1)}
 	if waitEnd {
-		m.ended = make(chan model.Job, 1)
+		m.watcher = &watcher{ended: make(chan model.Job, 1)}
+		defer m.watcher.left.Store(true)
 	}
 	if err := o.tryPost(m); err != nil {
 		return model.Job{}, err
@@ -192,7 +214,7 @@
 		return job, nil
 	}
 	select {
-	case final := <-m.ended:
+	case final := <-m.watcher.ended:
 		return final, nil
 	case <-o.ctx.Done():
 		return job, ErrNotOwner
--- a/internal/cell/end.go
+++ b/internal/cell/end.go
@@ -163,8 +163,8 @@
 	took := time.Duration(job.EndedMs-job.AcceptedMs) * time.Millisecond
 	o.host.Meter.JobEnded(job.Spec.Workspace, string(job.State), took)
 	o.logEnd(job, took)
-	for _, ch := range j.watchers {
-		ch <- job
+	for _, w := range j.watchers {
+		w.ended <- job
 	}
 }
 
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -69,7 +69,9 @@
 	startRecorded bool
 	// mayHaveRun is set once part of any attempt may have run.
 	mayHaveRun bool
-	watchers   []chan model.Job
+	watchers   []*watcher
+	// pruneAt is the number of watchers from which those that have left are removed.
+	pruneAt int
 }
 
 func (j *openJob) job() model.Job { return j.entry.Job }
