guard, jobapi: memory for large answers is reserved before they are read

Seen: 100 clients that asked for an answer of 4 MB and did not read it took 680 and 696 MB of 256. Cause: an answer was read from the object store, copied twice and handed to the server, for each request, as long as its client took. Change: guard.HoldReply reserves memory for a reply until its connection is read again or closed, from a budget of an eighth of the memory (two answers of the largest size at least). Without memory the reply is 503; a reply that has stalled gives way. Answers are no longer copied: responses over 64 KB leave the pool of the HTTP client with their buffer. Why this works: no answer is read before its memory is reserved.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,6 +11,7 @@
 	"greengageline/internal/cell"
 	"greengageline/internal/config"
 	"greengageline/internal/event"
+	"greengageline/internal/guard"
 	"greengageline/internal/jobapi"
 	"greengageline/internal/node"
 	"greengageline/pkg/model"
@@ -22,6 +23,8 @@
 // API serves the operator routes of one node.
 type API struct {
 	Node *node.Node
+	// Replies bounds the replies with the configuration that are being sent.
+	Replies *guard.Budget
 	// Stop requests a planned stop of the process and returns at once.
 	Stop func()
 }
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -31,6 +31,7 @@
 	"greengageline/internal/vmlist"
 	"greengageline/internal/wire"
 	"greengageline/internal/worker"
+	"greengageline/pkg/model"
 )
 
 // watchInterval is the time between two looks at refused and slow clients.
@@ -76,7 +77,7 @@
 // providePorts bounds the clients of the node.
 func providePorts(i do.Injector) (*guard.Ports, error) {
 	s := do.MustInvoke[setup.Settings](i)
-	return guard.NewPorts(guard.Limits{MemoryMB: s.MemoryMB, MaxFds: s.MaxFds}, s.MaxBody), nil
+	return guard.NewPorts(guard.Limits{MemoryMB: s.MemoryMB, MaxFds: s.MaxFds}, s.MaxBody, model.MaxAnswer), nil
 }
 
 func provideTable(i do.Injector) (*table.Table, error) {
@@ -204,8 +205,8 @@
 	peers = p.ports.Peers.Listen(peers, limits.PeerConns())
 	p.app = fiber.New(guard.Config(fiber.Config{Immutable: true, ErrorHandler: writeHTTPError}))
 	p.app.Use(guard.Track, p.readBody)
-	(&jobapi.API{Node: p.Node}).Mount(p.app)
-	(&admin.API{Node: p.Node, Stop: p.RequestStop}).Mount(p.app)
+	(&jobapi.API{Node: p.Node, Replies: &p.ports.Replies}).Mount(p.app)
+	(&admin.API{Node: p.Node, Replies: &p.ports.Replies, Stop: p.RequestStop}).Mount(p.app)
 	p.rpc = peer.NewServer(&p.ports.Peers, p.Node.Handlers())
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -74,6 +74,24 @@
 	}
 }
 
+// HoldReply reserves memory for a reply of n bytes to the request of c, until the reply has been sent or its connection is
+// closed. It returns ErrNoMemory if there is none. A client that reads its reply too slowly gives way to others.
+func HoldReply(c *fiber.Ctx, b *Budget, n int) error {
+	conn := connOf(c.Context())
+	if conn == nil {
+		return nil
+	}
+	conn.setReply(nil)
+	h := b.begin(conn)
+	if err := h.grow(int64(n)); err != nil {
+		h.Release()
+		b.Counters.NoMemory.Add(1)
+		return err
+	}
+	conn.setReply(h)
+	return nil
+}
+
 func connOf(ctx *fasthttp.RequestCtx) *Conn {
 	conn, _ := ctx.Conn().(*Conn)
 	return conn
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -133,6 +133,28 @@
 	is.True(ctx.Err() != nil) // no wait begins on a closed connection
 }
 
+// Guards against replies whose memory stays reserved after they have been sent or their connection has closed.
+func TestMemoryOfReplies(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{Size: func() int64 { return 1 << 20 }, Counters: &Counters{}}
+	ours, theirs := net.Pipe()
+	c := &Conn{Conn: ours, listener: NewListener(nil, 1, b.Counters)}
+	hold := func() {
+		h := b.begin(c)
+		is.NoErr(h.grow(300 << 10))
+		c.setReply(h)
+	}
+	hold()
+	is.True(errors.Is(b.begin(nil).grow(300<<10), ErrNoMemory))
+	go func() { _, _ = theirs.Write([]byte("next request")) }()
+	_, err := c.Read(make([]byte, 12))
+	is.NoErr(err)
+	is.Equal(b.Held(), int64(0)) // it has been sent
+	hold()
+	is.NoErr(c.Close())
+	is.Equal(b.Held(), int64(0))
+}
+
 // Guards against unfinished messages of nodes that hold memory without a bound, or for good, and against finished ones that
 // still count.
 func TestPeers(t *testing.T) {
--- a/internal/guard/listen.go
+++ b/internal/guard/listen.go
@@ -46,6 +46,8 @@
 	waitMu     sync.Mutex
 	cancelWait context.CancelFunc
 	closed     bool // guarded by waitMu
+	// reply, guarded by waitMu, is the memory of the reply that is being sent; nil if none is reserved.
+	reply *Hold
 	// addr, the address of the client, and unfinished are used for connections of other nodes only.
 	addr       string
 	unfinished unfinished
@@ -183,8 +185,18 @@
 	}
 }
 
+// setReply replaces the memory of the reply. What was held before is released: that reply has been sent.
+func (c *Conn) setReply(h *Hold) {
+	c.waitMu.Lock()
+	old := c.reply
+	c.reply = h
+	c.waitMu.Unlock()
+	old.Release()
+}
+
 // Read reads from the connection. Its errors are those of the network, by which servers tell an end from a fault.
 func (c *Conn) Read(data []byte) (int, error) {
+	c.setReply(nil)
 	n, err := c.Conn.Read(data)
 	if p := c.listener.peers; p != nil && n > 0 {
 		c.waitsSince.Store(time.Now().UnixNano())
@@ -196,6 +208,7 @@
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.endWait()
+	c.setReply(nil)
 	if p := c.listener.peers; p != nil {
 		p.closed(c)
 	}
--- a/internal/guard/ports.go
+++ b/internal/guard/ports.go
@@ -13,7 +13,9 @@
 type Ports struct {
 	Counters Counters
 	Bodies   Budget
-	Peers    Peers
+	// Replies bounds the replies that may be large.
+	Replies Budget
+	Peers   Peers
 	// Owns reports whether the process owns the work, whose state needs memory; nil means never. It must be set before
 	// the first request.
 	Owns func() bool
@@ -23,10 +25,13 @@
 	reportedAt time.Time
 }
 
-// NewPorts returns the bounds that follow from l. The bodies have room for two of maxBody bytes in any case.
-func NewPorts(l Limits, maxBody int) *Ports {
+// NewPorts returns the bounds that follow from l. In any case there is room for two bodies of maxBody bytes and two replies of
+// maxReply bytes.
+func NewPorts(l Limits, maxBody, maxReply int) *Ports {
 	p := &Ports{}
-	least := int64(2 * heldPerByte * float64(maxBody) / largeShare)
+	least := roomForTwo(maxBody)
+	replies := max(roomForTwo(maxReply), l.Replies())
+	p.Replies.Counters, p.Replies.Size = &p.Counters, func() int64 { return replies }
 	owned, others := max(least, l.Bodies(true)), max(least, l.Bodies(false))
 	p.Bodies.Counters, p.Peers.Counters, p.Peers.Bytes = &p.Counters, &p.Counters, l.PeerBytes()
 	p.Bodies.Size = func() int64 {
@@ -38,8 +43,10 @@
 	return p
 }
 
-// Held returns the bytes that bodies and unfinished messages hold.
-func (p *Ports) Held() int64 { return p.Bodies.Held() + p.Peers.Held() }
+func roomForTwo(n int) int64 { return int64(2 * heldPerByte * float64(n) / largeShare) }
+
+// Held returns the bytes that bodies, large replies and unfinished messages hold.
+func (p *Ports) Held() int64 { return p.Bodies.Held() + p.Replies.Held() + p.Peers.Held() }
 
 // Tick closes the connections of slow nodes and logs the clients that were refused since the last line, at most every 10
 // seconds. It must be called every few seconds, by one goroutine.
--- a/internal/guard/sizes.go
+++ b/internal/guard/sizes.go
@@ -19,6 +19,8 @@
 	// whose own state grows with the number of jobs and workers.
 	bodyPart  = 1.0 / 8
 	ownerPart = 0.5
+	// replyPart is the part of the memory for replies that may be large.
+	replyPart = 1.0 / 8
 	// connPart is the part of the memory for connections of callers, each of which takes connBytes: two buffers of 4 KB,
 	// a goroutine and the request's header.
 	connPart  = 1.0 / 8
@@ -67,6 +69,9 @@
 	return int64(l.memory() * bodyPart)
 }
 
+// Replies returns the bytes that replies which may be large may hold together.
+func (l Limits) Replies() int64 { return int64(l.memory() * replyPart) }
+
 // CallerConns returns the most connections of callers.
 func (l Limits) CallerConns() int {
 	return int(math.Min(l.fds()*callerFds, l.memory()*connPart/connBytes))
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -19,6 +19,8 @@
 // API serves the caller routes of one node.
 type API struct {
 	Node *node.Node
+	// Replies bounds the answers of jobs that are being sent.
+	Replies *guard.Budget
 }
 
 // Mount adds the caller routes to the app.
@@ -101,7 +103,7 @@
 func (a *API) answer(c *fiber.Ctx) error {
 	ctx, cancel := context.WithTimeout(c.Context(), a.Node.Settings.AnswerWait)
 	defer cancel()
-	data, err := a.Node.Answer(ctx, c.Params("id"))
+	data, err := a.Node.Answer(ctx, c.Params("id"), func(n int) error { return guard.HoldReply(c, a.Replies, n) })
 	if err != nil {
 		return WriteError(c, err)
 	}
@@ -171,7 +173,7 @@
 		return fiber.StatusGatewayTimeout, Problem{Error: "not-known", Ran: ranUnknown, Next: "ask again with the same key"}
 	case errors.Is(err, cell.ErrBusy):
 		return fiber.StatusTooManyRequests, Problem{Error: "busy", Ran: ranNo, Next: "send again later"}
-	case errors.Is(err, cell.ErrNotReady), errors.Is(err, cell.ErrNotOwner):
+	case errors.Is(err, cell.ErrNotReady), errors.Is(err, cell.ErrNotOwner), errors.Is(err, guard.ErrNoMemory):
 		return fiber.StatusServiceUnavailable, Problem{Error: "not-ready", Ran: ranNo, Next: "send again with the same key"}
 	}
 	return fiber.StatusInternalServerError, Problem{Error: "internal", Ran: ranUnknown, Next: "ask again with the same key"}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -309,8 +308,8 @@
 var ErrNoAnswerYet = errors.New("job has no answer")
 
 // Answer returns the complete answer of a completed job. It returns ErrNoAnswerYet if there is
-// none.
-func (n *Node) Answer(ctx context.Context, id string) ([]byte, error) {
+// none. An answer that is not stored with its job is read only if reserve, called with its length, returns nil.
+func (n *Node) Answer(ctx context.Context, id string, reserve func(length int) error) ([]byte, error) {
 	job, err := n.loadStored(ctx, id)
 	if err != nil {
 		return nil, err
@@ -320,6 +319,9 @@
 	}
 	data := job.Answer.Inline
 	if job.Answer.Object != "" {
+		if err := reserve(job.Answer.Length); err != nil {
+			return nil, fmt.Errorf("read the answer of job %q: %w", id, err)
+		}
 		data, err = n.Host.Objects.Get(ctx, job.Answer.Object)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", cell.ErrNotReady, err)
@@ -328,5 +330,5 @@
 	if !job.Answer.Verify(data) {
 		return nil, fmt.Errorf("%w: stored answer of job %q is damaged", cell.ErrNotReady, id)
 	}
-	return slices.Clone(data), nil
+	return data, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -38,6 +38,7 @@
 	defaultTimeout  = 2 * time.Second
 	defaultMaxConns = 64
 	maxResponseBody = 16 << 20 // bytes
+	maxCopiedBody   = 64 << 10 // bytes
 	idleTimeout     = 30 * time.Second
 )
 
@@ -179,6 +180,9 @@
 	if err != nil {
 		return 0, nil, c.sendError(err)
 	}
+	if len(resp.Body()) > maxCopiedBody {
+		return resp.StatusCode(), resp.SwapBody(nil), nil // the pool of responses would keep a large buffer
+	}
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
 
--- a/test/absent_test.go
+++ b/test/absent_test.go
@@ -63,7 +63,7 @@
 			return err
 		}},
 		"answer, refused": {linkRefuses, func(ctx context.Context, n *simNode, id string) error {
-			_, err := n.Answer(ctx, id)
+			_, err := n.Answer(ctx, id, noLimit)
 			return err
 		}},
 	}
--- a/test/check_test.go
+++ b/test/check_test.go
@@ -16,6 +16,9 @@
 	"greengageline/pkg/model"
 )
 
+// noLimit is for answers whose size is not bounded.
+func noLimit(int) error { return nil }
+
 // submission is a job that one caller submitted, and the replies that the caller received. Its
 // caller's goroutine writes it until callers.wg is done; id is also read by others, under mu.
 type submission struct {
@@ -93,7 +96,7 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	for sub.job.State == model.Done && !sub.gotAnswer && time.Now().Before(deadline) {
-		data, err := callLiveNode(c, func(ctx context.Context, n *simNode) ([]byte, error) { return n.Answer(ctx, sub.job.ID) })
+		data, err := callLiveNode(c, func(ctx context.Context, n *simNode) ([]byte, error) { return n.Answer(ctx, sub.job.ID, noLimit) })
 		sub.answer, sub.gotAnswer = data, err == nil
 		time.Sleep(200 * time.Millisecond)
 	}
