config: the size of the files and of a change are bounded

Seen: changes of the configuration of 64 KB each, one after the other, took 102 and 125 MB of 96. All nodes keep the files, and read them again when they start, so a restart does not help. Cause: each file was bounded (64 KB), not their number; a change could name 4,096 files and have a note of any length, and the log was returned whole. Change: the files may take 4 MB, unless a change makes them smaller; a change has at most 256 files; the log is read and returned in pages of 100 entries, which the command line follows. Why this works: what can't be held is not stored. TestSizeOfTheFolderIsBounded, TestFollowReadsAllPagesOfTheLog.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -99,7 +99,7 @@
 func (a *API) configLog(c *fiber.Ctx) error {
 	ctx, cancel := context.WithTimeout(c.Context(), operationTimeout)
 	defer cancel()
-	entries, err := a.Node.Config.Log(ctx, uint64(max(c.QueryInt("after"), 0)))
+	entries, _, err := a.Node.Config.Log(ctx, uint64(max(c.QueryInt("after"), 0)))
 	if err != nil {
 		return writeError(c, err)
 	}
--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -215,9 +215,16 @@
 		"Example:\n  greengageline config log -after 40", fs,
 		func(ctx context.Context, _ []string) error {
 			var entries []config.LogEntry
-			path := fmt.Sprintf("/v1/config/log?after=%d", *after)
-			if err := a.client().Do(ctx, http.MethodGet, path, nil, &entries); err != nil {
-				return err
+			for last := *after; ; {
+				var page []config.LogEntry
+				path := fmt.Sprintf("/v1/config/log?after=%d", last)
+				if err := a.client().Do(ctx, http.MethodGet, path, nil, &page); err != nil {
+					return err
+				}
+				if len(page) == 0 {
+					break
+				}
+				entries, last = append(entries, page...), page[len(page)-1].Generation
 			}
 			return a.print(entries, func() string { return logText(entries) })
 		})
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -152,6 +152,54 @@
 	is.Equal(f.Head.Generation, uint64(8)) // one for the first change and one for each accepted change
 }
 
+// Pattern: files are added without end. Guards against a configuration that no node can hold, and against one that can't be
+// made smaller again.
+func TestSizeOfTheFolderIsBounded(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := newStandInStore(&fakes.Platform{})
+	_, err := s.Change(ctx, singleEditChange("base.toml", baseConfig, 0), nil)
+	is.NoErr(err)
+	text := strings.Repeat("#", maxFileBytes)
+	added := 0
+	for ; err == nil; added++ {
+		_, err = s.Change(ctx, singleEditChange(fmt.Sprintf("f%d.toml", added), text, 0), nil)
+	}
+	is.True(errors.Is(err, ErrInvalid))
+	is.True(added >= maxFolderBytes/maxFileBytes-1)
+	f, err := s.Refresh(ctx, Folder{})
+	is.NoErr(err)
+	is.True(f.Size() <= maxFolderBytes)
+	first := f.Files["f0.toml"].Generation
+	_, err = s.Change(ctx, singleEditChange("f0.toml", "# short", first), nil)
+	is.NoErr(err)
+	_, err = s.Change(ctx, singleEditChange("small.toml", "# small", 0), nil)
+	is.NoErr(err)
+}
+
+// Guards against a log of changes that is read only in part by a node that has missed many of them.
+func TestFollowReadsAllPagesOfTheLog(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := newStandInStore(&fakes.Platform{})
+	_, err := s.Change(ctx, singleEditChange("base.toml", baseConfig, 0), nil)
+	is.NoErr(err)
+	known, err := s.Refresh(ctx, Folder{})
+	is.NoErr(err)
+	s.Known = func() Folder { return known }
+	for i := range 2*logPageSize + 1 {
+		_, err := s.Change(ctx, singleEditChange(fmt.Sprintf("f%d.toml", i), "# x", 0), nil)
+		is.NoErr(err)
+	}
+	log, more, err := s.Log(ctx, 0)
+	is.NoErr(err)
+	is.Equal(len(log), logPageSize)
+	is.True(more)
+	f, err := s.Refresh(ctx, known)
+	is.NoErr(err)
+	is.Equal(len(f.Files), 2*logPageSize+2)
+}
+
 func TestFollowReadsOnlyChangedFiles(t *testing.T) {
 	is := is.New(t)
 	p := &fakes.Platform{}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -30,6 +30,16 @@
 	// pageSize is the number of rows that are read in one call.
 	pageSize     = 200
 	maxFileBytes = 64 << 10
+	// maxFolderBytes is the largest sum of the files, of which each counts fileBytes beside its name and text, and a deleted one
+	// too. Each node keeps the folder in memory.
+	maxFolderBytes = 4 << 20
+	fileBytes      = 128
+	// maxEdits, maxAuthorBytes and maxNoteBytes bound one change, whose entry in the log is read with others.
+	maxEdits       = 256
+	maxAuthorBytes = 128
+	maxNoteBytes   = 4 << 10
+	// logPageSize is the number of entries of the log that are read in one call.
+	logPageSize = 100
 	// maxAttempts limits how often a read or a change is tried under concurrent changes.
 	maxAttempts = 16
 )
@@ -78,8 +88,11 @@
 
 // Check checks file names and sizes, and that no file is edited twice. Errors wrap ErrInvalid.
 func (c *Change) Check() error {
-	if len(c.Edits) == 0 {
-		return fmt.Errorf("edits is empty: %w", ErrInvalid)
+	if len(c.Edits) == 0 || len(c.Edits) > maxEdits {
+		return fmt.Errorf("edits has %d entries, want 1 to %d: %w", len(c.Edits), maxEdits, ErrInvalid)
+	}
+	if len(c.Author) > maxAuthorBytes || len(c.Note) > maxNoteBytes {
+		return fmt.Errorf("author and note have %d and %d bytes, want at most %d and %d: %w", len(c.Author), len(c.Note), maxAuthorBytes, maxNoteBytes, ErrInvalid)
 	}
 	seen := map[string]bool{}
 	for _, e := range c.Edits {
@@ -115,6 +128,15 @@
 	return out
 }
 
+// Size returns about how many bytes the folder takes in memory.
+func (f Folder) Size() int {
+	n := 0
+	for name, s := range f.Files {
+		n += fileBytes + len(name) + len(s.Text)
+	}
+	return n
+}
+
 // WithEdits returns a copy of the folder with the edits applied at the given generation.
 // The head of the copy has no hash.
 func (f Folder) WithEdits(edits []Edit, generation uint64) Folder {
@@ -140,6 +162,8 @@
 // Store reads and changes the configuration in the table. It keeps no state of its own.
 type Store struct {
 	Table *table.Table
+	// Known returns a folder that was read before, so that a change need not read all files; nil means that there is none.
+	Known func() Folder
 	// NowMs returns the wall-clock time in ms since the Unix epoch.
 	NowMs func() int64
 }
@@ -204,14 +228,19 @@
 	if known.Head.Generation == 0 {
 		return next, s.readAll(ctx, next.Files)
 	}
-	log, err := s.Log(ctx, known.Head.Generation)
-	if err != nil {
-		return known, err
-	}
 	changed := map[string]bool{}
-	for _, e := range log {
-		for _, name := range e.Files {
-			changed[filePrefix+name] = true
+	for after, more := known.Head.Generation, true; more; {
+		var log []LogEntry
+		var err error
+		log, more, err = s.Log(ctx, after)
+		if err != nil {
+			return known, err
+		}
+		for _, e := range log {
+			after = e.Generation
+			for _, name := range e.Files {
+				changed[filePrefix+name] = true
+			}
 		}
 	}
 	return next, s.readKeys(ctx, next.Files, slices.Sorted(maps.Keys(changed)))
@@ -263,27 +292,20 @@
 	return nil
 }
 
-// Log returns the changes after the given generation, oldest first.
-func (s *Store) Log(ctx context.Context, after uint64) ([]LogEntry, error) {
-	var log []LogEntry
-	key := logKey(after)
-	for more := true; more; {
-		var rows []table.Row
-		var err error
-		rows, more, err = s.Table.Range(ctx, logPrefix, key, pageSize)
-		if err != nil {
-			return nil, wrapUnavailable(err)
-		}
-		for _, r := range rows {
-			var e LogEntry
-			if err := r.Decode(&e); err != nil {
-				return nil, wrapUnavailable(err)
-			}
-			log = append(log, e)
-			key = r.Key
+// Log returns the changes after the given generation, oldest first, and whether there are more.
+func (s *Store) Log(ctx context.Context, after uint64) (log []LogEntry, more bool, err error) {
+	rows, more, err := s.Table.Range(ctx, logPrefix, logKey(after), logPageSize)
+	if err != nil {
+		return nil, false, wrapUnavailable(err)
+	}
+	for _, r := range rows {
+		var e LogEntry
+		if err := r.Decode(&e); err != nil {
+			return nil, false, wrapUnavailable(err)
 		}
+		log = append(log, e)
 	}
-	return log, nil
+	return log, more, nil
 }
 
 func logKey(generation uint64) string { return fmt.Sprintf("%s%020d", logPrefix, generation) }
@@ -297,6 +319,9 @@
 		return 0, err
 	}
 	folder := Folder{}
+	if s.Known != nil {
+		folder = s.Known()
+	}
 	for range maxAttempts {
 		head, headRow, err := s.readHead(ctx)
 		if err != nil {
@@ -341,6 +366,9 @@
 		}
 	}
 	next := folder.WithEdits(c.Edits, folder.Head.Generation+1)
+	if size := next.Size(); size > maxFolderBytes && size > folder.Size() {
+		return Folder{}, fmt.Errorf("the files would take %d bytes, want at most %d: %w", size, maxFolderBytes, ErrInvalid)
+	}
 	next.Head.Hash = HashFiles(next.Texts())
 	next.Head.AtMs = s.NowMs()
 	plan, err := next.Plan()
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -51,6 +51,12 @@
 	return postBody("/v1/config", len(body), string(body))
 }
 
+// smallFile is largeFile for a small file.
+func smallFile(i, k int) []byte {
+	body := lo.Must(json.Marshal(config.Change{Author: "c", Edits: []config.Edit{{Name: fmt.Sprintf("s-%d-%d.toml", i, k), Text: "# small"}}}))
+	return postBody("/v1/config", len(body), string(body))
+}
+
 // longAddress returns a heartbeat in CBOR of a node at an address of 250 KB, another one each time.
 func longAddress(i, k int) []byte {
 	addr := fmt.Sprintf("%08x%08x%s", i, k, strings.Repeat("x", 250_000))
@@ -94,23 +100,24 @@
 		// descriptors is how many descriptors the system lets the node have, fewer than its settings say; 0 means no limit.
 		descriptors uint64
 	}{
-		"sent but for the last byte":     {peer: false, crowd: fakes.Crowd{Conns: 300, Send: postBody("/v1/jobs", 2*mega, strings.Repeat("x", 2*mega-1))}},
-		"many empty edits":               {peer: false, crowd: fakes.Crowd{Conns: 300, Send: postBody("/v1/config", len(edits), edits)}},
-		"silent connections":             {peer: false, crowd: fakes.Crowd{Conns: 1400}},
-		"nodes' port, unfinished":        {peer: true, crowd: fakes.Crowd{Conns: 6, Method: "/greengageline.Peer/Beat", Message: make([]byte, mega-1), Calls: 100, SendLimit: 90 * mega}},
-		"nodes' port, empty cells":       {peer: true, crowd: fakes.Crowd{Conns: 60, Method: "/greengageline.Peer/Beat", Message: []byte(beat), Calls: 30}},
-		"nodes' port, silence":           {peer: true, crowd: fakes.Crowd{Conns: 1400}},
-		"waiting for an end":             {crowd: fakes.Crowd{Conns: 300}, job: fakes.Work{RunMs: 600_000}, path: "?wait=60s"},
-		"waiting for a slot":             {crowd: fakes.Crowd{Conns: 400, Send: waitingRequest}, callTime: 10 * time.Minute},
-		"many short waits":               {crowd: fakes.Crowd{Conns: 50, Requests: 4000}, memory: smallMemoryMB, job: fakes.Work{RunMs: 600_000}, path: "?wait=1us"},
-		"large answers":                  {crowd: fakes.Crowd{Conns: 100}, job: fakes.Work{AnswerBytes: model.MaxAnswer}, ended: true, path: "/answer"},
-		"large payloads":                 {crowd: fakes.Crowd{Conns: 30, Request: largeJob, Requests: 40}, memory: smallMemoryMB},
-		"files of configuration":         {crowd: fakes.Crowd{Conns: 1, Request: largeFile, Requests: 600}, memory: smallMemoryMB},
-		"reads of a large configuration": {crowd: fakes.Crowd{Conns: 100, Send: get("/v1/config")}, files: 30, memory: smallMemoryMB},
-		"nodes' port, unread replies":    {peer: true, crowd: fakes.Crowd{Conns: 12, Method: "/greengageline.Peer/Job", Calls: 250, ReadLimit: 200}, memory: smallMemoryMB, job: fakes.Work{RunMs: 600_000, Answer: strings.Repeat("x", 60_000)}, path: "?"},
-		"nodes' port, addresses":         {peer: true, crowd: fakes.Crowd{Conns: 12, Method: "/greengageline.Peer/Beat", MessageOf: longAddress, Calls: 100, InTurn: true}, memory: smallMemoryMB},
-		"nodes' port, leaving workers":   {peer: true, crowd: fakes.Crowd{Conns: 12, Method: "/greengageline.Peer/Beat", MessageOf: longLeaving, Calls: 100, InTurn: true}, memory: smallMemoryMB},
-		"descriptors used up":            {crowd: fakes.Crowd{Conns: 100}, descriptors: 45},
+		"sent but for the last byte":           {peer: false, crowd: fakes.Crowd{Conns: 300, Send: postBody("/v1/jobs", 2*mega, strings.Repeat("x", 2*mega-1))}},
+		"many empty edits":                     {peer: false, crowd: fakes.Crowd{Conns: 300, Send: postBody("/v1/config", len(edits), edits)}},
+		"silent connections":                   {peer: false, crowd: fakes.Crowd{Conns: 1400}},
+		"nodes' port, unfinished":              {peer: true, crowd: fakes.Crowd{Conns: 6, Method: "/greengageline.Peer/Beat", Message: make([]byte, mega-1), Calls: 100, SendLimit: 90 * mega}},
+		"nodes' port, empty cells":             {peer: true, crowd: fakes.Crowd{Conns: 60, Method: "/greengageline.Peer/Beat", Message: []byte(beat), Calls: 30}},
+		"nodes' port, silence":                 {peer: true, crowd: fakes.Crowd{Conns: 1400}},
+		"waiting for an end":                   {crowd: fakes.Crowd{Conns: 300}, job: fakes.Work{RunMs: 600_000}, path: "?wait=60s"},
+		"waiting for a slot":                   {crowd: fakes.Crowd{Conns: 400, Send: waitingRequest}, callTime: 10 * time.Minute},
+		"many short waits":                     {crowd: fakes.Crowd{Conns: 50, Requests: 4000}, memory: smallMemoryMB, job: fakes.Work{RunMs: 600_000}, path: "?wait=1us"},
+		"large answers":                        {crowd: fakes.Crowd{Conns: 100}, job: fakes.Work{AnswerBytes: model.MaxAnswer}, ended: true, path: "/answer"},
+		"large payloads":                       {crowd: fakes.Crowd{Conns: 30, Request: largeJob, Requests: 40}, memory: smallMemoryMB},
+		"files of configuration":               {crowd: fakes.Crowd{Conns: 1, Request: largeFile, Requests: 600}, memory: smallMemoryMB},
+		"reads of a large configuration":       {crowd: fakes.Crowd{Conns: 100, Send: get("/v1/config")}, files: 30, memory: smallMemoryMB},
+		"changes of the configuration at once": {crowd: fakes.Crowd{Conns: 100, Request: smallFile, Requests: 2}, files: 30, memory: smallMemoryMB},
+		"nodes' port, unread replies":          {peer: true, crowd: fakes.Crowd{Conns: 12, Method: "/greengageline.Peer/Job", Calls: 250, ReadLimit: 200}, memory: smallMemoryMB, job: fakes.Work{RunMs: 600_000, Answer: strings.Repeat("x", 60_000)}, path: "?"},
+		"nodes' port, addresses":               {peer: true, crowd: fakes.Crowd{Conns: 12, Method: "/greengageline.Peer/Beat", MessageOf: longAddress, Calls: 100, InTurn: true}, memory: smallMemoryMB},
+		"nodes' port, leaving workers":         {peer: true, crowd: fakes.Crowd{Conns: 12, Method: "/greengageline.Peer/Beat", MessageOf: longLeaving, Calls: 100, InTurn: true}, memory: smallMemoryMB},
+		"descriptors used up":                  {crowd: fakes.Crowd{Conns: 100}, descriptors: 45},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
