node, admin: the configuration is read once for many requests

Cause: each request, and each change, read all files from the table, and changes ran at the same time, so that most had to be repeated. Change: both begin with the files that the node has read already; a node carries out one change at a time, 16 wait, and further ones get 503; memory for a reply with the files or the log is reserved first (guard.HoldReply). Why this works: a request takes no more than its reply, which is counted, and a change is alone.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,6 +20,9 @@
 // operationTimeout limits the processing of one operator request.
 const operationTimeout = 10 * time.Second
 
+// maxLogReply is the largest size of a reply with entries of the log of the configuration, of which each may name 256 files.
+const maxLogReply = 3 << 20
+
 // API serves the operator routes of one node.
 type API struct {
 	Node *node.Node
@@ -68,10 +71,13 @@
 func (a *API) showConfig(c *fiber.Ctx) error {
 	ctx, cancel := context.WithTimeout(c.Context(), operationTimeout)
 	defer cancel()
-	f, err := a.Node.Config.Refresh(ctx, config.Folder{})
+	f, err := a.Node.Config.Refresh(ctx, a.Node.KnownConfig())
 	if err != nil {
 		return writeError(c, err)
 	}
+	if err := guard.HoldReply(c, a.Replies, f.Size()); err != nil {
+		return writeError(c, err)
+	}
 	return c.JSON(Folder{Generation: f.Head.Generation, Hash: f.Head.Hash, Files: f.Files})
 }
 
@@ -99,6 +105,9 @@
 func (a *API) configLog(c *fiber.Ctx) error {
 	ctx, cancel := context.WithTimeout(c.Context(), operationTimeout)
 	defer cancel()
+	if err := guard.HoldReply(c, a.Replies, maxLogReply); err != nil {
+		return writeError(c, err)
+	}
 	entries, _, err := a.Node.Config.Log(ctx, uint64(max(c.QueryInt("after"), 0)))
 	if err != nil {
 		return writeError(c, err)
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -148,6 +148,7 @@
 		Log:    do.MustInvoke[*event.Log](i),
 		Meter:  do.MustInvoke[*metric.Meter](i),
 	}
+	n.Config.Known = n.KnownConfig
 	n.Prepare()
 	do.MustInvoke[*gaugeSource](i).node.Store(n)
 	return n, nil
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -47,6 +47,9 @@
 // loaded reports whether the configuration was read at least once.
 func (f *configView) loaded() bool { return f.state.Load() != nil }
 
+// KnownConfig returns the files of the configuration as last read.
+func (n *Node) KnownConfig() config.Folder { return n.conf.load().folder }
+
 // followConfig is refresh without its result, for use as a background task.
 func (n *Node) followConfig(ctx context.Context) { n.refresh(ctx) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,9 @@
 
 	draining       atomic.Bool
 	activeRequests atomic.Int64 // callers' and peers' requests in progress
+	// changing has an element while a change of the configuration is in progress; waitingChanges counts those that wait.
+	changing       chan struct{}
+	waitingChanges atomic.Int64
 
 	mu sync.Mutex
 	// leaseManagers is keyed by cell and guarded by mu.
@@ -59,6 +62,7 @@
 	if n.Dial == nil {
 		n.Dial = func(addr string) *peer.Client { return &peer.Client{Addr: addr} }
 	}
+	n.changing = make(chan struct{}, 1)
 	n.leaseManagers = map[string]*runningLeaseManager{}
 	n.mesh.node = n
 	n.budget.Percent = n.Settings.RetryPercent
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"greengageline/internal/config"
 	"greengageline/internal/event"
@@ -81,9 +82,32 @@
 	return out
 }
 
+// maxWaitingChanges bounds the changes of the configuration that wait for their turn on a node.
+const maxWaitingChanges = 16
+
+// awaitChange waits until no other change of the configuration is in progress on this node: each takes several times the
+// memory of the files, and of two at once one would have to be repeated. done must be called at the end of the change.
+func (n *Node) awaitChange(ctx context.Context) (done func(), err error) {
+	defer n.waitingChanges.Add(-1)
+	if n.waitingChanges.Add(1) > maxWaitingChanges {
+		return nil, fmt.Errorf("%d changes wait already: %w", maxWaitingChanges, config.ErrUnavailable)
+	}
+	select {
+	case n.changing <- struct{}{}:
+		return func() { <-n.changing }, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", config.ErrUnavailable, ctx.Err())
+	}
+}
+
 // ChangeConfig writes a new generation of the configuration and applies it here at once. It
 // refuses a change whose guarantees cannot be packed on the workers of the VM list.
 func (n *Node) ChangeConfig(ctx context.Context, c config.Change) (uint64, error) {
+	done, err := n.awaitChange(ctx)
+	if err != nil {
+		return 0, err
+	}
+	defer done()
 	generation, err := n.Config.Change(ctx, c, func(p config.Plan) error {
 		targets := n.vms.targets()
 		before, _ := n.plan()
