cell, guard: the memory of open jobs is bounded in the product too

Seen: 1,200 jobs with payloads of 64 KB, on 30 connections, took 186 and 189 MB of 96. The default queue limit of a workspace is 20,000 jobs. The jobs are durable, so the next owner reads them again, 500 rows of up to 90 KB in one reply. Cause: the queue of a workspace is bounded in jobs, not in bytes. Found beside it by a heap profile of a trial copy, with the bound on jobs alone: 99 to 142 MB, since a body counted twice its size, but its request takes eight times that (two decoders, the row and its encodings); and the product did not tell the runtime of its memory, nor leave room in it for the pages of the program. Change: guard.Shares, moved from package leader, bounds the open jobs of all cells of a node to a quarter of the memory; a refusal is 429, and a repeat of an accepted key gets its job. A byte of a body counts eight in the product. serve sets the runtime's limit, which leaves 28 MB for the program. A rebuild reads 100 rows at a time and drops their encoded form. Why this works: what is accepted and what is in progress are both counted with what they take.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -89,7 +89,7 @@
 func (a *API) changeConfig(c *fiber.Ctx) error {
 	defer a.Node.TrackRequest()()
 	var in config.Change
-	if err := model.Decode(c.Body(), &in); err != nil {
+	if err := model.Decode(c.Request().Body(), &in); err != nil {
 		return writeError(c, err)
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), operationTimeout)
--- a/internal/admin/evac.go
+++ b/internal/admin/evac.go
@@ -22,7 +22,7 @@
 func (a *API) setEvacuation(c *fiber.Ctx) error {
 	defer a.Node.TrackRequest()()
 	var in config.Evacuation
-	if err := model.Decode(c.Body(), &in); err != nil {
+	if err := model.Decode(c.Request().Body(), &in); err != nil {
 		return writeError(c, err)
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), operationTimeout)
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -37,6 +37,10 @@
 // watchInterval is the time between two looks at refused and slow clients.
 const watchInterval = 2 * time.Second
 
+// bodyPerByte is how many bytes of memory a byte of a body takes until its request has ended: the body, the buffers of two
+// decoders, the decoded request, and the row that is written, with its encodings.
+const bodyPerByte = 8
+
 // LogWriter is the destination of a node's log lines.
 type LogWriter struct{ io.Writer }
 
@@ -77,7 +81,9 @@
 // providePorts bounds the clients of the node.
 func providePorts(i do.Injector) (*guard.Ports, error) {
 	s := do.MustInvoke[setup.Settings](i)
-	return guard.NewPorts(guard.Limits{MemoryMB: s.MemoryMB, MaxFds: s.MaxFds}, s.MaxBody, model.MaxAnswer), nil
+	return guard.NewPorts(guard.Limits{MemoryMB: s.MemoryMB, MaxFds: s.MaxFds}, guard.Largest{
+		Body: s.MaxBody, Reply: model.MaxAnswer, PerByte: bodyPerByte,
+	}), nil
 }
 
 func provideTable(i do.Injector) (*table.Table, error) {
@@ -132,6 +138,7 @@
 		Ledger:  &ledger.Ledger{Table: tab},
 		Workers: &worker.Pool{},
 		Objects: &object.Store{Wire: &wire.Client{Addr: s.Platform}},
+		State:   guard.Shares{Limit: guard.Limits{MemoryMB: s.MemoryMB, MaxFds: s.MaxFds}.State()},
 	}, nil
 }
 
--- a/internal/cell/api.go
+++ b/internal/cell/api.go
@@ -35,6 +35,9 @@
 	if refusal != nil {
 		return o.refuse(ctx, spec, refusal)
 	}
+	if !o.reserve(&job.Spec) {
+		return o.refuseFull(ctx, spec)
+	}
 	o.host.runHook(StepAccept, job.ID)
 	reply := make(chan acceptReply, 1)
 	// The write continues when the caller gives up, because the loop must learn
@@ -108,6 +111,9 @@
 
 func (o *Owner) accept(job model.Job, reply chan<- acceptReply) {
 	e, repeated, err := o.host.Ledger.Accept(o.ctx, o.fence, job)
+	if err != nil || repeated {
+		o.release(&job.Spec)
+	}
 	switch {
 	case err == nil && !repeated:
 		o.host.Log.Emit(event.JobAccepted).Str("cell", o.cell).Str("job", e.Job.ID).
@@ -138,6 +144,7 @@
 func (m jobAccepted) apply(o *Owner) {
 	id := m.entry.Job.ID
 	if o.jobs[id] != nil {
+		o.release(&m.entry.Job.Spec)
 		return
 	}
 	o.jobs[id] = &openJob{entry: m.entry}
--- a/internal/cell/end.go
+++ b/internal/cell/end.go
@@ -155,6 +155,7 @@
 		return
 	}
 	delete(o.jobs, job.ID)
+	o.release(&job.Spec)
 	for _, x := range j.members {
 		if w := o.workers[x.Worker]; w != nil {
 			w.pendingAcks = addRef(w.pendingAcks, j.ref())
--- a/internal/cell/host.go
+++ b/internal/cell/host.go
@@ -7,6 +7,7 @@
 
 	"greengageline/internal/config"
 	"greengageline/internal/event"
+	"greengageline/internal/guard"
 	"greengageline/internal/ledger"
 	"greengageline/internal/metric"
 	"greengageline/internal/object"
@@ -58,6 +59,8 @@
 	Objects  *object.Store
 	Log      *event.Log
 	Meter    *metric.Meter
+	// State bounds the memory for the open jobs of all cells that the node owns.
+	State guard.Shares
 	// Plan returns the configuration in force and whether it is fresh enough to accept
 	// and start work.
 	Plan func() (config.Plan, bool)
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -41,6 +41,10 @@
 	draining     atomic.Bool  // no job is accepted or started any more
 	activeStarts atomic.Int32 // job starts past waitUntilAccepting
 
+	heldMu sync.Mutex
+	// held is guarded by heldMu: the memory of this owner's jobs by workspace, which is part of host.State.
+	held map[string]int64
+
 	// Only the loop touches the fields below, except stats.
 	engine           place.Engine
 	pendingEvents    []place.Event // not yet passed to the engine
@@ -92,6 +96,7 @@
 func (o *Owner) stop() {
 	o.cancel()
 	o.goroutines.Wait()
+	o.releaseAll()
 }
 
 // spawn runs f in a goroutine; stop waits for it.
--- a/internal/cell/rebuild.go
+++ b/internal/cell/rebuild.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// rebuildPageSize is how many rows one read of a rebuild requests.
-	rebuildPageSize = 500
+	// rebuildPageSize is how many rows one read of a rebuild requests. A row may take 90 KB.
+	rebuildPageSize = 100
 	// rebuildRetryPause is the mean pause between attempts to read while the table is
 	// unavailable. Its jitter keeps the nodes from reading at once when the table
 	// returns.
@@ -96,6 +96,7 @@
 func (o *Owner) restoreJob(e ledger.Entry) {
 	j := &openJob{entry: e, attempt: e.Job.Attempt, mayHaveRun: e.Job.Attempt > 0}
 	o.jobs[e.Job.ID] = j
+	o.hold(&e.Job.Spec)
 	if e.Job.State == model.Accepted || len(e.Job.Members) == 0 {
 		o.stepEngine(place.Enqueue{Job: placeRequest(e.Job)})
 		return
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -8,6 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"greengageline/internal/boot"
+	"greengageline/internal/guard"
 	"greengageline/internal/setup"
 )
 
@@ -35,6 +36,7 @@
 }
 
 func (a *app) runNode(ctx context.Context, s setup.Settings) error {
+	guard.Limits{MemoryMB: s.MemoryMB, MaxFds: s.MaxFds}.Apply()
 	p, err := boot.Start(s, a.errOut)
 	if err != nil {
 		return err
--- a/internal/guard/budget.go
+++ b/internal/guard/budget.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"cmp"
 	"container/list"
 	"errors"
 	"net"
@@ -20,7 +21,7 @@
 	// stalledAfter is how long a body may take before it gives way to others when the budget is used up. A body
 	// within the limits arrives in a fraction of it.
 	stalledAfter = time.Second
-	// heldPerByte is what a byte of a body counts: its buffer, and the decoded request made from it.
+	// heldPerByte is what a byte counts by default: its buffer, and the decoded request made from it.
 	heldPerByte = 2
 )
 
@@ -36,6 +37,8 @@
 type Budget struct {
 	Size     func() int64
 	Counters *Counters
+	// PerByte is how many bytes of memory a byte of a body counts; 0 means 2.
+	PerByte int64
 
 	mu sync.Mutex
 	// used and reading are guarded by mu: the bytes held, and the holds whose bodies are still arriving, oldest first.
@@ -67,13 +70,14 @@
 // grow reserves memory for n more bytes of a body. If there is none, it returns ErrNoMemory and closes the connection
 // of the body that has been arriving for the longest time, if that has stalled, so that later requests find memory.
 func (h *Hold) grow(n int64) error {
-	n *= heldPerByte
 	b := h.budget
+	perByte := cmp.Or(b.PerByte, heldPerByte)
+	n *= perByte
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.Size != nil {
 		size := b.Size()
-		if h.bytes+n > heldPerByte*smallBody {
+		if h.bytes+n > perByte*smallBody {
 			size = int64(float64(size) * largeShare)
 		}
 		if b.used+n > size {
--- a/internal/guard/ports.go
+++ b/internal/guard/ports.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"cmp"
 	"time"
 
 	"greengageline/internal/event"
@@ -25,12 +26,20 @@
 	reportedAt time.Time
 }
 
-// NewPorts returns the bounds that follow from l. In any case there is room for two bodies of maxBody bytes and two replies of
-// maxReply bytes.
-func NewPorts(l Limits, maxBody, maxReply int) *Ports {
+// Largest is the size of the largest requests and replies of a program.
+type Largest struct {
+	Body, Reply int
+	// PerByte is how many bytes of memory a byte of a body takes until its request has ended; 0 means 2.
+	PerByte int64
+}
+
+// NewPorts returns the bounds that follow from l. In any case there is room for two of the largest bodies and two of the
+// largest replies.
+func NewPorts(l Limits, largest Largest) *Ports {
 	p := &Ports{}
-	least := roomForTwo(maxBody)
-	replies := max(roomForTwo(maxReply), l.Replies())
+	p.Bodies.PerByte = cmp.Or(largest.PerByte, heldPerByte)
+	least := roomForTwo(largest.Body, p.Bodies.PerByte)
+	replies := max(roomForTwo(largest.Reply, heldPerByte), l.Replies())
 	p.Replies.Counters, p.Replies.Size = &p.Counters, func() int64 { return replies }
 	owned, others := max(least, l.Bodies(true)), max(least, l.Bodies(false))
 	p.Bodies.Counters, p.Peers.Counters, p.Peers.Bytes = &p.Counters, &p.Counters, l.PeerBytes()
@@ -43,7 +52,9 @@
 	return p
 }
 
-func roomForTwo(n int) int64 { return int64(2 * heldPerByte * float64(n) / largeShare) }
+func roomForTwo(n int, perByte int64) int64 {
+	return int64(2 * float64(perByte) * float64(n) / largeShare)
+}
 
 // Held returns the bytes that bodies, large replies and unfinished messages hold.
 func (p *Ports) Held() int64 { return p.Bodies.Held() + p.Replies.Held() + p.Peers.Held() }
--- a/internal/guard/sizes.go
+++ b/internal/guard/sizes.go
@@ -42,9 +42,11 @@
 	// room for two of the largest jobs. A heap that is collected once it has grown by half takes half as much again.
 	statePart = 1.0 / 4
 	minState  = 16 << 20
-	// heapPart is the part of the memory that the heap may take before garbage is collected more often. The others are
-	// for stacks and the program itself.
-	heapPart = 0.85
+	// heapPart is the part of the memory that the runtime may take before garbage is collected more often, and
+	// programBytes is at least left for the pages of the program itself, which the runtime does not count.
+	heapPart     = 0.85
+	programBytes = 28 << 20
+	minHeap      = 32 << 20
 )
 
 func (l Limits) memory() float64 {
@@ -91,9 +93,14 @@
 // State returns the bytes that the state of an owner's jobs may take.
 func (l Limits) State() int64 { return max(minState, int64(l.memory()*statePart)) }
 
+// heap returns the bytes that the runtime may take before garbage is collected more often.
+func (l Limits) heap() int64 {
+	return max(minHeap, int64(math.Min(l.memory()*heapPart, l.memory()-programBytes)))
+}
+
 // Apply makes the runtime collect garbage more often when the heap comes near the limit. It does nothing if no memory is given.
 func (l Limits) Apply() {
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.memory() * heapPart))
+		debug.SetMemoryLimit(l.heap())
 	}
 }
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -42,7 +42,7 @@
 
 func (a *API) submit(c *fiber.Ctx) error {
 	var spec model.JobSpec
-	if err := model.Decode(c.Body(), &spec); err != nil {
+	if err := model.Decode(c.Request().Body(), &spec); err != nil {
 		return WriteError(c, err)
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), a.Node.Settings.AnswerWait)
@@ -113,7 +113,7 @@
 
 func (a *API) request(c *fiber.Ctx) error {
 	var spec model.RequestSpec
-	if err := model.Decode(c.Body(), &spec); err != nil {
+	if err := model.Decode(c.Request().Body(), &spec); err != nil {
 		return WriteError(c, err)
 	}
 	data, err := a.Node.ServeShortRequest(c.Context(), spec)
--- a/internal/leader/admit.go
+++ b/internal/leader/admit.go
@@ -11,74 +11,8 @@
 // ErrFull means that there is no memory for the state of a job. Nothing was done.
 var ErrFull = errors.New("no memory for the state of the job")
 
-const (
-	// smallState is the size of a job's state, in bytes, up to which it counts as small.
-	smallState = 64 << 10
-	// A workspace may hold at most smallFactor or largeFactor times what it leaves to all others, so that neither one
-	// workspace shuts out the others nor large jobs shut out small ones.
-	smallFactor = 8
-	largeFactor = 1
-	// cancelState is the memory of a cancellation whose job is not known, in bytes.
-	cancelState = 512
-)
-
-// stateBudget bounds the memory for the jobs that an owner knows and for those that are being accepted. Any goroutine may
-// use it.
-type stateBudget struct {
-	limit int64 // bytes; 0 means no bound
-
-	mu sync.Mutex
-	// total and spaces are guarded by mu: the bytes in use, in all and by workspace.
-	total  int64
-	spaces map[string]int64
-}
-
-// reserve adds n bytes to what a workspace uses, unless that is too much for it.
-func (b *stateBudget) reserve(workspace string, n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	factor := int64(largeFactor)
-	if n <= smallState {
-		factor = smallFactor
-	}
-	if left := b.limit - b.total - n; b.limit > 0 && b.spaces[workspace]+n > factor*left {
-		return false
-	}
-	b.changeLocked(workspace, n)
-	return true
-}
-
-// change adds n bytes, which may be negative, to what a workspace uses, whatever the limit.
-func (b *stateBudget) change(workspace string, n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.changeLocked(workspace, n)
-}
-
-// changeLocked is change for a caller that holds mu.
-func (b *stateBudget) changeLocked(workspace string, n int64) {
-	if b.spaces == nil {
-		b.spaces = map[string]int64{}
-	}
-	b.total += n
-	if b.spaces[workspace] += n; b.spaces[workspace] == 0 {
-		delete(b.spaces, workspace)
-	}
-}
-
-// used returns the bytes in use.
-func (b *stateBudget) used() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.total
-}
-
-// left returns the bytes that are left; it is negative if too many are in use.
-func (b *stateBudget) left() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.limit - b.total
-}
+// cancelState is the memory of a cancellation whose job is not known, in bytes.
+const cancelState = 512
 
 const (
 	// feedLag is how long the owner may take to learn of a job that another node has accepted.
@@ -153,7 +87,7 @@
 // that was the owner's answer.
 func (l *Candidate) Admit(workspace string, n int64) (a *Admission, exact bool, err error) {
 	if o := l.LocalOwner(); o != nil && o.rebuilt.Load() {
-		if !o.budget.reserve(workspace, n) {
+		if !o.budget.Reserve(workspace, n) {
 			return nil, true, ErrFull
 		}
 		return &Admission{lead: l, owner: o, workspace: workspace, bytes: n}, true, nil
@@ -175,7 +109,7 @@
 		// The reservation ends once the state itself is counted. The loop may be busy for a while.
 		go a.owner.post(func() {
 			a.owner.applyNoted(r, true)
-			a.owner.budget.change(a.workspace, -a.bytes)
+			a.owner.budget.Change(a.workspace, -a.bytes)
 		})
 		return true
 	}
@@ -189,7 +123,7 @@
 // NotStored ends the reservation for a row that was not stored, or had been stored before.
 func (a *Admission) NotStored() {
 	if a.owner != nil {
-		a.owner.budget.change(a.workspace, -a.bytes)
+		a.owner.budget.Change(a.workspace, -a.bytes)
 		return
 	}
 	a.lead.allowance.giveBack(a.bytes)
--- a/internal/leader/admit_test.go
+++ b/internal/leader/admit_test.go
@@ -10,34 +10,6 @@
 	"greengageline/internal/rows"
 )
 
-// Pattern: one workspace submits jobs without end. Guards against an owner that runs out of memory, and against a workspace
-// or a kind of jobs that shuts out the others.
-func TestStateBudgetLeavesRoom(t *testing.T) {
-	const mega = 1 << 20
-	for name, c := range map[string]struct {
-		size int64
-		most int64 // bytes that one workspace gets
-	}{
-		"large jobs": {mega, 16 * mega},
-		"small jobs": {4 << 10, 29 * mega},
-	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			b := &stateBudget{limit: 32 * mega}
-			for b.reserve("greedy", c.size) {
-				is.True(b.left() >= 0)
-			}
-			is.True(b.total >= c.most-mega && b.total <= c.most)
-			is.True(b.reserve("other", 4<<10)) // another workspace is served
-			is.True(b.reserve("other", mega))
-			b.change("other", -mega)
-			b.change("greedy", -2*mega)
-			is.True(b.reserve("greedy", c.size)) // and this one once jobs have gone
-		})
-	}
-	is.New(t).True((&stateBudget{}).reserve("a", 1<<40)) // the zero value has no bound
-}
-
 // Pattern: callers submit to all nodes at once, or while there is no owner. Guards against nodes that accept together more
 // than the owner has left.
 func TestAllowanceOfNodes(t *testing.T) {
@@ -80,9 +52,9 @@
 		sim, nodes, stop := startSimulation(2, 2)
 		defer stop()
 		o := ownerOf(nodes).LocalOwner()
-		o.budget.limit = 16 << 20
+		o.budget.Limit = 16 << 20
 		held := func() (total int64) {
-			is.True(o.postAndWait(t.Context(), func() { total = o.budget.limit - o.budget.left() }))
+			is.True(o.postAndWait(t.Context(), func() { total = o.budget.Limit - o.budget.Left() }))
 			return total
 		}
 		sim.submit("a", "bulk", oneGPU(4))
@@ -99,7 +71,7 @@
 		is.True(held() > 0 && held() < 1<<20)
 		time.Sleep(2*o.lead.Bounds.EndedRetention + 3*purgeInterval)
 		is.Equal(held(), int64(0))
-		is.Equal(len(o.budget.spaces), 0)
+		is.Equal(o.budget.Used(), int64(0))
 
 		admission, _, err = o.lead.Admit("ws", 1<<20)
 		is.NoErr(err)
--- a/internal/leader/follow.go
+++ b/internal/leader/follow.go
@@ -97,15 +97,15 @@
 		return
 	}
 	size := sched.StateBytes(w, len(r.Value))
-	if !must && !o.budget.reserve(w.Workspace, size) {
+	if !must && !o.budget.Reserve(w.Workspace, size) {
 		return
 	}
 	if must {
-		o.budget.change(w.Workspace, size)
+		o.budget.Change(w.Workspace, size)
 	}
 	j, err := sched.Restore(w, record)
 	if err != nil {
-		o.budget.change(w.Workspace, -size)
+		o.budget.Change(w.Workspace, -size)
 		o.lead.Log.Emit(event.RowCorrupt).Str("table", RecordTable).Str("key", r.Key).Err(err).Send()
 		return
 	}
@@ -125,7 +125,7 @@
 	if o.work[id] == nil {
 		if _, known := o.earlyCancels[id]; !known {
 			o.earlyCancels[id] = o.lead.now()
-			o.budget.change("", cancelState)
+			o.budget.Change("", cancelState)
 		}
 		return
 	}
@@ -136,7 +136,7 @@
 func (o *Owner) forgetEarlyCancel(id string) {
 	if _, known := o.earlyCancels[id]; known {
 		delete(o.earlyCancels, id)
-		o.budget.change("", -cancelState)
+		o.budget.Change("", -cancelState)
 	}
 }
 
@@ -155,17 +155,17 @@
 // does not block. It leaves the row to the feed while the loop is busy or there is no memory for the job.
 func (o *Owner) ApplyAccepted(r rows.Row) {
 	waiting := int64(len(r.Value)) + cancelState
-	if !o.budget.reserve("", waiting) {
+	if !o.budget.Reserve("", waiting) {
 		return
 	}
 	apply := func() {
-		o.budget.change("", -waiting)
+		o.budget.Change("", -waiting)
 		o.applyNoted(r, false)
 	}
 	select {
 	case o.inbox <- apply:
 	default: // the inbox is full
-		o.budget.change("", -waiting)
+		o.budget.Change("", -waiting)
 	}
 }
 
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -24,7 +24,7 @@
 	line := o.lead.Log.Emit(event.OwnerLoad).Int64("epoch", o.epoch).Int64("ms", since.Milliseconds()).
 		Int("waiting", o.engine.WaitingTasks()).Int("window", o.starts.size()).Int("in_flight", o.starts.inFlight).
 		Int("backlog", len(o.pendingStarts)+len(o.readyStarts)).Int64("answer_ms", o.starts.smoothed.Milliseconds()).
-		Int64("commit_ms", o.lastTxnTook.Milliseconds()).Int64("pass_ms", o.longestPass.Milliseconds()).Int64("state_kb", o.budget.used()>>10)
+		Int64("commit_ms", o.lastTxnTook.Milliseconds()).Int64("pass_ms", o.longestPass.Milliseconds()).Int64("state_kb", o.budget.Used()>>10)
 	kinds := lo.Keys(flows)
 	slices.Sort(kinds)
 	for _, kind := range kinds {
--- a/internal/leader/owner.go
+++ b/internal/leader/owner.go
@@ -10,6 +10,7 @@
 
 	"greengageline/internal/clock"
 	"greengageline/internal/event"
+	"greengageline/internal/guard"
 	"greengageline/internal/metric"
 	"greengageline/internal/orders"
 	"greengageline/internal/rows"
@@ -69,7 +70,7 @@
 
 	engine       sched.Engine
 	work         map[string]*model.Work // every known job's specification, by id
-	budget       stateBudget
+	budget       guard.Shares
 	stateBytes   map[string]int64         // what the known jobs take of budget, by id
 	finals       map[string]sched.State   // durable final states
 	earlyCancels map[string]time.Duration // cancellations of jobs that are not known, by id, with when they became known
@@ -151,7 +152,7 @@
 		lead: l, epoch: row.Epoch, takenAt: sent, row: row, rowVersion: version, ctx: ctx, cancel: cancel,
 		inbox: make(chan func(), inboxSize), work: map[string]*model.Work{}, finals: map[string]sched.State{},
 		earlyCancels: map[string]time.Duration{}, removed: map[string]uint64{}, sessions: map[string]*session{}, confirmedRuns: map[sched.TaskRef]startOutcome{},
-		dirtyJobs: map[string]bool{}, silentAt: map[string]*session{}, budget: stateBudget{limit: l.StateLimit}, stateBytes: map[string]int64{},
+		dirtyJobs: map[string]bool{}, silentAt: map[string]*session{}, budget: guard.Shares{Limit: l.StateLimit}, stateBytes: map[string]int64{},
 	}
 	o.committedAt.Store(int64(sent))
 	o.committedVersion.Store(version)
@@ -499,7 +500,7 @@
 	ok = o.postAndWait(ctx, func() {
 		st = Stats{Stats: o.engine.Stats(o.moment()), StartWindow: o.starts.size(), StartsWaiting: len(o.pendingStarts) + len(o.readyStarts)}
 		o.shortfallStats(&st)
-		st.StateBytes, st.StateLeft = o.budget.used(), o.budget.left()
+		st.StateBytes, st.StateLeft = o.budget.Used(), o.budget.Left()
 	})
 	return st, ok
 }
--- a/internal/leader/purge.go
+++ b/internal/leader/purge.go
@@ -91,7 +91,7 @@
 		for _, id := range r.ids {
 			o.engine.Forget(id)
 			if w := o.work[id]; w != nil {
-				o.budget.change(w.Workspace, -o.stateBytes[id])
+				o.budget.Change(w.Workspace, -o.stateBytes[id])
 			}
 			delete(o.work, id)
 			delete(o.stateBytes, id)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -154,6 +154,7 @@
 	if err := r.Decode(&e.Job); err != nil {
 		return e, readError(err)
 	}
+	e.Row.Body = nil // the job has it all
 	return e, nil
 }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -127,7 +127,7 @@
 	d.duration(&s.DrainLimit, "drain_limit", 20*time.Second, 100*time.Millisecond, 10*time.Minute, "How long a planned stop may take.")
 	d.duration(&s.EndedJobRetention, "keep_done", 30*24*time.Hour, time.Minute, 10*365*24*time.Hour, "How long an ended job and its key are kept; after that a repeat of the key is a new job.")
 	d.number(&s.MaxBody, "max_body", "bytes", 256<<10, 1<<10, 16<<20, "Largest body of a request.")
-	d.number(&s.MemoryMB, "memory", "MB", 256, 64, 1<<20, "Memory of the VM; unread requests may hold an eighth of it, large replies an eighth, unfinished messages of nodes a sixteenth, and connections an eighth.")
+	d.number(&s.MemoryMB, "memory", "MB", 256, 64, 1<<20, "Memory of the VM; unread requests may hold an eighth of it, large replies an eighth, open jobs a quarter (at least 16 MB), unfinished messages of nodes a sixteenth, and connections an eighth.")
 	d.number(&s.MaxFds, "max_fds", "descriptors", 1024, 64, 1<<20, "Descriptors that the process may have open; a quarter is for connections of callers and an eighth for those of nodes.")
 	d.number(&s.OwnerQueueSize, "inbox", "messages", 8192, 16, 1<<20, "Messages that wait for a cell's owner; more are refused.")
 	d.number(&s.MaxConcurrentStarts, "start_at_once", "jobs", 256, 1, 10_000, "Jobs of one cell that are being started at once.")
