guard, peer: replies between nodes wait for a client that reads them

Seen: 3,000 calls for the state of a job with a payload of 60 KB, on 12 connections whose clients do not read, took 224 and 240 MB of 96. Cause: the handler of a call ends when its reply has been handed to the connection. HTTP/2's flow control keeps it there until the client reads; up to 256 replies on each connection, which are neither counted nor ever given up. Ruled out: counting what the server's statistics report as sent, since that comes after the write as often as before; a trial with it, and one that forgot old counts once something was written, used up to 153 MB. Change: a reply is counted before it is encoded, by the size of the method's last one, and what is written is subtracted. While more than 64 KB wait on a connection, replies over 1 KB wait in their decoded form. A connection on which they wait for 5 s, or nothing of a reply has been written for 15 s, is closed; its clients dial again. Why this works: what a client doesn't read is at most 64 KB and one reply on each connection, and for a bounded time. TestRepliesWaitForTheirClient.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -209,6 +209,41 @@
 	is.Equal(p.Held(), int64(0))
 }
 
+// Pattern: a client calls and does not read the replies. Guards against replies that are all encoded and kept for it, against
+// replies that wait although they could be sent, and against connections that stay for good.
+func TestRepliesWaitForTheirClient(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	p := &Peers{Counters: &Counters{}}
+	l := p.Listen(inner, 10)
+	client, err := net.Dial("tcp4", inner.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	server, err := l.Accept()
+	is.NoErr(err)
+	ctx := p.TagConn(t.Context(), &stats.ConnTagInfo{RemoteAddr: server.RemoteAddr()})
+	is.True(ReserveReply(t.Context(), 1<<20) == nil) // a call that did not come through a listener
+	is.True(ReserveReply(ctx, 64<<10) == nil)
+	AdjustReply(ctx, 16<<10) // it was larger
+	is.True(ReserveReply(ctx, smallReply) == nil)
+	sent := ReserveReply(ctx, 2*smallReply)
+	is.True(sent != nil)
+	_, err = server.Write(make([]byte, 60<<10))
+	is.NoErr(err)
+	<-sent
+	is.True(ReserveReply(ctx, 2*smallReply) == nil)
+	sent = ReserveReply(ctx, 64<<10)
+	is.True(sent != nil)
+	p.CloseSlow()
+	is.Equal(len(p.conns), 1)
+	server.(*Conn).unfinished.waitsSince = time.Now().Add(-2 * unsentTime)
+	p.CloseSlow()
+	is.Equal(len(p.conns), 0)
+	is.True(ReserveReply(ctx, 64<<10) == nil) // its calls end
+}
+
 // Guards against bounds that ordinary clients meet on the smallest VM, against bounds that exceed it together, and against
 // none where a limit is not given.
 func TestLimits(t *testing.T) {
--- a/internal/guard/listen.go
+++ b/internal/guard/listen.go
@@ -205,6 +205,15 @@
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *Conn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	if p := c.listener.peers; p != nil && n > 0 {
+		p.wrote(c, int64(n))
+	}
+	return n, err
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.endWait()
--- a/internal/guard/peers.go
+++ b/internal/guard/peers.go
@@ -20,6 +20,12 @@
 	forgetPerSecond = 1 << 10
 	// slackBytes is what such bytes come to between two messages.
 	slackBytes = 4 << 10
+	// maxUnsent is how many bytes of replies may wait to be sent on a connection, beside replies of up to smallReply.
+	maxUnsent  = 64 << 10
+	smallReply = 1 << 10
+	// unsentTime bounds the wait of replies for others that are not sent. Replies to calls that were cancelled meanwhile are
+	// never sent, and stay counted until the connection is closed.
+	unsentTime = 5 * time.Second
 )
 
 // Peers bounds the bytes of messages from other nodes that have not arrived in full, over all connections of a
@@ -40,6 +46,67 @@
 	bytes, streams int64
 	// readAt is when the connection was read last, progressAt when a message or a call ended last.
 	readAt, progressAt time.Time
+	// unsent is how many bytes of replies have been handed to the connection and not been written, at most, and writtenAt
+	// when something was written last. sent is closed when unsent falls to half of maxUnsent; it is nil if nobody waits for
+	// that. waitsSince is when the first reply began to.
+	unsent     int64
+	writtenAt  time.Time
+	sent       chan struct{}
+	waitsSince time.Time
+}
+
+// ReserveReply counts a reply of about n bytes to the call of ctx, which is about to be encoded and handed to the connection,
+// and returns nil; AdjustReply corrects the count. If other replies wait to be sent there, it counts nothing and returns a
+// channel that is closed once they have been: the client of the connection decides when that is, so the reply should not
+// be encoded before.
+func ReserveReply(ctx context.Context, n int64) <-chan struct{} {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	if c == nil {
+		return nil
+	}
+	p := c.listener.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := &c.unfinished
+	if n > smallReply && u.unsent > 0 && u.unsent+n > maxUnsent && p.conns[c.addr] == c {
+		if u.sent == nil {
+			u.sent, u.waitsSince = make(chan struct{}), time.Now()
+		}
+		return u.sent
+	}
+	if u.unsent == 0 {
+		u.writtenAt = time.Now()
+	}
+	u.unsent += n
+	return nil
+}
+
+// AdjustReply adds n bytes, which may be negative, to what ReserveReply has counted.
+func AdjustReply(ctx context.Context, n int64) {
+	if c, _ := ctx.Value(connKey{}).(*Conn); c != nil {
+		p := c.listener.peers
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.addUnsent(c, n)
+	}
+}
+
+// addUnsent changes the bytes that wait to be sent on c; the caller holds mu.
+func (p *Peers) addUnsent(c *Conn, n int64) {
+	u := &c.unfinished
+	u.unsent = max(0, u.unsent+n)
+	if u.unsent <= maxUnsent/2 && u.sent != nil {
+		close(u.sent)
+		u.sent = nil
+	}
+}
+
+// wrote counts n bytes that were written to c.
+func (p *Peers) wrote(c *Conn, n int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.unfinished.writtenAt = time.Now()
+	p.addUnsent(c, -n)
 }
 
 // Listen returns l with its connections watched by p.
@@ -115,13 +182,16 @@
 	p.drop(worst)
 }
 
-// CloseSlow closes the connections with an unfinished message on which none has been finished for RequestTime.
+// CloseSlow closes the connections with an unfinished message on which none has been finished for RequestTime, and those
+// with replies that are not sent in time.
 func (p *Peers) CloseSlow() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
 		u := &c.unfinished
-		if u.streams > 0 && u.bytes > u.streams*streamBytes+slackBytes && time.Since(u.progressAt) > RequestTime {
+		stuck := u.streams > 0 && u.bytes > u.streams*streamBytes+slackBytes && time.Since(u.progressAt) > RequestTime
+		unread := u.unsent > 0 && time.Since(u.writtenAt) > RequestTime || u.sent != nil && time.Since(u.waitsSince) > unsentTime
+		if stuck || unread {
 			p.drop(c)
 		}
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -27,8 +27,14 @@
 // Name returns the content subtype under which gRPC registers the codec.
 func (codec) Name() string { return codecName }
 
+// encoded is a message that has been encoded already.
+type encoded []byte
+
 // Marshal encodes v.
 func (codec) Marshal(v any) ([]byte, error) {
+	if data, ok := v.(encoded); ok {
+		return data, nil
+	}
 	data, err := cbor.Marshal(v)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", v, err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -73,6 +75,7 @@
 
 // Method returns the gRPC description of a typed handler, without generated code.
 func Method[I, O any](name string, f func(context.Context, *I) (*O, error)) grpc.MethodDesc {
+	size := new(atomic.Int64)
 	return grpc.MethodDesc{
 		MethodName: name,
 		Handler: func(_ any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
@@ -80,11 +83,35 @@
 			if err := dec(in); err != nil {
 				return nil, status.Error(codes.InvalidArgument, err.Error())
 			}
-			return f(ctx, in)
+			out, err := f(ctx, in)
+			if err != nil {
+				return nil, err
+			}
+			return encodeReply(ctx, out, size)
 		},
 	}
 }
 
+// unknownReply is the size that the first reply of a method is taken to have, in bytes.
+const unknownReply = 64 << 10
+
+// encodeReply encodes a reply once the connection may take it. While it waits only the decoded form is kept, which often
+// shares its memory with the node's state. size has the size of the method's last reply.
+func encodeReply(ctx context.Context, out any, size *atomic.Int64) (encoded, error) {
+	expected := cmp.Or(size.Load(), unknownReply)
+	for sent := guard.ReserveReply(ctx, expected); sent != nil; sent = guard.ReserveReply(ctx, expected) {
+		select {
+		case <-sent:
+		case <-ctx.Done():
+			return nil, status.FromContextError(ctx.Err()).Err()
+		}
+	}
+	data, err := codec{}.Marshal(out)
+	guard.AdjustReply(ctx, int64(len(data))-expected)
+	size.Store(int64(len(data)))
+	return data, err
+}
+
 // Stream returns the gRPC description of a stream in both directions, which ends when f returns.
 func Stream(name string, f func(grpc.ServerStream) error) grpc.StreamDesc {
 	return grpc.StreamDesc{
