node, peer: what heartbeats tell is bounded

Seen: 1,200 heartbeats of the product's nodes with addresses of 250 KB, one after the other on 12 connections, took 379 and 380 MB of 96; with 256 leaving workers each, of names of 1 KB, 101 and 102 MB. Cause: each heartbeat records its sender, with a client, for five intervals; each name of a leaving worker is kept until the list of VMs is read next. Neither their lengths nor their number are bounded. Change: names and addresses have at most 256 bytes; at most 256 peers are recorded that only their heartbeats name; leaving workers are recorded only if the VM list names them, and at most 4,096 before it has been read. Why this works: all that a heartbeat leaves behind has a bound of its own.

--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -200,17 +200,27 @@
 	n.fetchIfNewer(ctx, b.Generation)
 }
 
+// maxPeers bounds the peers that a node knows by their heartbeats only. A node may send one before the VM list names it.
+const maxPeers = 256
+
+// record records a heartbeat, unless its sender is suspected or one too many.
+func (m *mesh) record(b *peer.Beat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers[b.Addr] == nil && len(m.peers) >= maxPeers {
+		return
+	}
+	if p := m.stateLocked(b.Addr); !p.suspect {
+		p.beat, p.lastBeatAt = *b, time.Now()
+	}
+}
+
 // handleBeat applies and records a peer's heartbeat and answers with this node's. A heartbeat
 // from a suspected peer is applied but not recorded: the suspicion ends only when the peer
 // answers a heartbeat that this node sent.
 func (n *Node) handleBeat(ctx context.Context, in *peer.Beat) (*peer.Beat, error) {
 	n.applyBeat(ctx, in)
-	n.mesh.mu.Lock()
-	p := n.mesh.stateLocked(in.Addr)
-	if !p.suspect {
-		p.beat, p.lastBeatAt = *in, time.Now()
-	}
-	n.mesh.mu.Unlock()
+	n.mesh.record(in)
 	out := n.beat()
 	return &out, nil
 }
--- a/internal/node/vms.go
+++ b/internal/node/vms.go
@@ -19,10 +19,13 @@
 	// The fields below are guarded by mu.
 	loaded      bool
 	list        []model.VM
+	listed      map[string]bool // the ids in list
 	leaving     map[string]bool
 	reportedBad map[string]bool
 }
 
+// noteLeaving records VMs that are leaving. Those that the list does not name are not recorded once it has been read; peers
+// repeat what they report.
 func (b *vmRegistry) noteLeaving(ids ...string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -30,10 +33,15 @@
 		b.leaving = map[string]bool{}
 	}
 	for _, id := range ids {
-		b.leaving[id] = true
+		if !b.loaded && len(b.leaving) < maxUnlisted || b.listed[id] {
+			b.leaving[id] = true
+		}
 	}
 }
 
+// maxUnlisted bounds the leaving VMs that are recorded before the list has been read.
+const maxUnlisted = 4096
+
 // replace replaces the list and removes leaving VMs that it no longer names.
 func (b *vmRegistry) replace(list []model.VM) {
 	b.mu.Lock()
@@ -55,6 +63,7 @@
 			delete(b.leaving, id)
 		}
 	}
+	b.listed = named
 }
 
 // newlyBad returns those of the IDs of invalid list entries that it was not given before.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -16,8 +16,12 @@
 	Ready  bool   `json:"ready"`
 }
 
-// maxLeaving is the maximum number of leaving VMs in one heartbeat.
-const maxLeaving = 256
+const (
+	// maxLeaving is the maximum number of leaving VMs in one heartbeat.
+	maxLeaving = 256
+	// maxNameBytes is the maximum length of a name or an address in a heartbeat, in bytes.
+	maxNameBytes = 256
+)
 
 // Beat is a heartbeat. It is both the request and the reply.
 type Beat struct {
@@ -34,7 +38,7 @@
 }
 
 // Check returns an error that wraps model.ErrInvalid if the sender's name or address is
-// missing or Leaving is too long.
+// missing, or one of its names or Leaving is too long.
 func (b *Beat) Check() error {
 	if b.Node == "" || b.Addr == "" {
 		return fmt.Errorf("heartbeat without node or address: %w", model.ErrInvalid)
@@ -42,6 +46,15 @@
 	if len(b.Leaving) > maxLeaving {
 		return fmt.Errorf("heartbeat names %d leaving workers: %w", len(b.Leaving), model.ErrInvalid)
 	}
+	names := append([]string{b.Node, b.Addr, b.Zone}, b.Leaving...)
+	for _, c := range b.Cells {
+		names = append(names, c.Cell)
+	}
+	for _, name := range names {
+		if len(name) > maxNameBytes {
+			return fmt.Errorf("heartbeat with a name of %d bytes: %w", len(name), model.ErrInvalid)
+		}
+	}
 	return nil
 }
 
