--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -166,7 +166,7 @@
 	id := strings.TrimPrefix(c.Path, g.Queue.Prefix)
 	var r Reply
 	var err error
-	if (c.Op == State || c.Op == Cancel) && model.CheckWorkID(id) != nil {
+	if (c.Op == State || c.Op == Cancel) && !model.IsWorkID(id) {
 		return r, nil // there can be no such job
 	}
 	switch c.Op {
@@ -264,10 +264,10 @@
 
 // Check returns an error that wraps model.ErrInvalid if there can be no such row.
 func (r *noteRequest) Check() error {
-	if len(r.Work) > maxWorkBytes {
-		return fmt.Errorf("note of a row of %d bytes: %w", len(r.Work), model.ErrInvalid)
+	if len(r.Work) > maxWorkBytes || !model.IsWorkID(strings.TrimSuffix(r.ID, leader.CancelSuffix)) {
+		return fmt.Errorf("note of a row of %d bytes for the job %.100q: %w", len(r.Work), r.ID, model.ErrInvalid)
 	}
-	return model.CheckWorkID(strings.TrimSuffix(r.ID, leader.CancelSuffix))
+	return nil
 }
 
 // notifyOwner notifies the owner of a job or a cancellation that was just stored. The owner's feed may be slow, or may
--- a/pkg/model/work.go
+++ b/pkg/model/work.go
@@ -140,12 +140,12 @@
 	AcceptedMs int64 `json:"accepted_ms"`
 }
 
-// CheckWorkID returns a FieldError if no Work can have this ID.
-func CheckWorkID(id string) error { return checkName("id", id) }
+// IsWorkID reports whether a Work can have this ID.
+func IsWorkID(id string) bool { return checkName("id", id) == nil }
 
 // Check validates the fields and returns a FieldError for the first invalid one.
 func (w *Work) Check() error {
-	if err := CheckWorkID(w.ID); err != nil {
+	if err := checkName("id", w.ID); err != nil {
 		return err
 	}
 	if len(w.Steps) == 0 || len(w.Steps) > MaxSteps {
