guard: a reply that has stalled gives way without a deadlock

Seen: in the reading of the diff. A request for a large answer that found no memory closed the connection of a reply that had stalled for a second, whose Close gave the memory back and waited for the lock that the request held: no large answer would be read any more, and each such request would hang. Not seen in a run of TestCrowds, whose clients leave after half a second. Cause: the budget closes the connection while it is locked; replies are released by the connection's own Close. Change: the budget closes the network's connection; the server then closes ours. Figures: TestMemoryOfReplies, now through a server, hangs without the change (30 s, one run) and passes with it (three runs, race detector).

--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -82,7 +82,7 @@
 		return nil
 	}
 	conn.setReply(nil)
-	h := b.begin(conn)
+	h := b.begin(conn.Conn) // the budget may close it while it is locked; conn.Close would release the memory
 	if err := h.grow(int64(n)); err != nil {
 		h.Release()
 		b.Counters.NoMemory.Add(1)
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -1,15 +1,18 @@
 package guard
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/gofiber/fiber/v2"
 	"github.com/matryer/is"
 	"google.golang.org/grpc/stats"
 )
@@ -133,26 +136,58 @@
 	is.True(ctx.Err() != nil) // no wait begins on a closed connection
 }
 
-// Guards against replies whose memory stays reserved after they have been sent or their connection has closed.
+// Guards against replies whose memory stays reserved after they have been sent or their connection has closed, and against a
+// reply that has stalled and keeps its memory.
 func TestMemoryOfReplies(t *testing.T) {
 	is := is.New(t)
 	b := &Budget{Size: func() int64 { return 1 << 20 }, Counters: &Counters{}}
-	ours, theirs := net.Pipe()
-	c := &Conn{Conn: ours, listener: NewListener(nil, 1, b.Counters)}
-	hold := func() {
-		h := b.begin(c)
-		is.NoErr(h.grow(300 << 10))
-		c.setReply(h)
+	app := fiber.New(Config(fiber.Config{}))
+	app.Use(Track)
+	app.Get("/", func(c *fiber.Ctx) error {
+		if err := HoldReply(c, b, 300<<10); err != nil {
+			return c.SendStatus(fiber.StatusServiceUnavailable)
+		}
+		return c.Send(make([]byte, 16<<20)) // more than the buffers of the network hold
+	})
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = app.Listener(NewListener(inner, 10, b.Counters)) }()
+	defer func() { _ = app.Shutdown() }()
+	ask := func() net.Conn {
+		conn, err := net.Dial("tcp4", inner.Addr().String())
+		is.NoErr(err)
+		_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		is.NoErr(err)
+		return conn
 	}
-	hold()
-	is.True(errors.Is(b.begin(nil).grow(300<<10), ErrNoMemory))
-	go func() { _, _ = theirs.Write([]byte("next request")) }()
-	_, err := c.Read(make([]byte, 12))
+	status := func(conn net.Conn) int {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		return resp.StatusCode
+	}
+	awaitHeld := func(n int64) {
+		for until := time.Now().Add(10 * time.Second); b.Held() != n && time.Now().Before(until); time.Sleep(time.Millisecond) {
+		}
+		is.Equal(b.Held(), n)
+	}
+	unread := ask()
+	defer unread.Close()
+	awaitHeld(600 << 10)
+	refused := ask()
+	is.Equal(status(refused), http.StatusServiceUnavailable)
+	_ = refused.Close()
+	time.Sleep(stalledAfter + 100*time.Millisecond)
+	_ = ask().Close() // finds that the first reply has stalled
+	awaitHeld(0)
+	is.Equal(b.Counters.Stalled.Load(), int64(1))
+	whole := ask()
+	resp, err := http.ReadResponse(bufio.NewReader(whole), nil)
+	is.NoErr(err)
+	n, err := io.Copy(io.Discard, resp.Body)
 	is.NoErr(err)
-	is.Equal(b.Held(), int64(0)) // it has been sent
-	hold()
-	is.NoErr(c.Close())
-	is.Equal(b.Held(), int64(0))
+	is.Equal(n, int64(16<<20))
+	awaitHeld(0) // the connection is open, and its reply has been sent
+	_ = whole.Close()
 }
 
 // Guards against unfinished messages of nodes that hold memory without a bound, or for good, and against finished ones that
