leader: a new owner does not lift the bound of the other nodes

Seen: in the reading of the diff. While a new owner reads the stored jobs it told the other nodes of no bound, so that they accepted without one; and a job whose storing got no answer was taken back from a node's share, though it may be stored. Cause: the bound was sent as absent where it was not known yet. Change: Pulse.Rebuilding leaves the share as it was; what may be stored stays counted. Figures: TestAllowanceOfNodes; its new case fails without the change.

--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -96,7 +96,7 @@
 	started := n.now()
 	row, repeated, err := n.commitIfAbsent(ctx, row)
 	if err != nil || repeated {
-		admission.NotStored()
+		admission.NotStored(errors.Is(err, ErrOutcomeUnknown))
 	}
 	if err != nil {
 		return err
@@ -204,7 +204,7 @@
 	}
 	row, repeated, err := n.commitIfAbsent(ctx, row)
 	if err != nil || repeated {
-		admission.NotStored()
+		admission.NotStored(errors.Is(err, ErrOutcomeUnknown))
 		return err
 	}
 	if !admission.Stored(row) {
--- a/internal/leader/admit.go
+++ b/internal/leader/admit.go
@@ -46,6 +46,9 @@
 // polled sets the bound from an owner's answer to a poll that was sent at a time. What was accepted at least feedLag before
 // is in the answer; without answers nothing is forgotten.
 func (a *allowance) polled(p Pulse, sent time.Duration) {
+	if p.Rebuilding {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.bounded = p.Bounded
@@ -120,11 +123,13 @@
 	return o != nil
 }
 
-// NotStored ends the reservation for a row that was not stored, or had been stored before.
-func (a *Admission) NotStored() {
-	if a.owner != nil {
+// NotStored ends the reservation for a row that was not stored, or had been stored before. If mayBe is set, it may still have
+// been stored; the owner then counts it when its feed delivers it.
+func (a *Admission) NotStored(mayBe bool) {
+	switch {
+	case a.owner != nil:
 		a.owner.budget.Change(a.workspace, -a.bytes)
-		return
+	case !mayBe:
+		a.lead.allowance.giveBack(a.bytes)
 	}
-	a.lead.allowance.giveBack(a.bytes)
 }
--- a/internal/leader/admit_test.go
+++ b/internal/leader/admit_test.go
@@ -41,6 +41,8 @@
 	is.True(taken > 0)
 	a.giveBack(10 << 10)
 	is.True(a.take(10 << 10)) // what was not stored does not count
+	a.polled(Pulse{Bounded: true, Free: 1 << 40, Nodes: 10, Rebuilding: true}, time.Minute)
+	is.True(!a.take(1 << 30)) // a new owner does not know yet what it has left
 	a.polled(Pulse{Bounded: true, Free: -1, Nodes: 10}, time.Minute)
 	is.True(!a.take(1)) // the owner has nothing left
 }
@@ -66,7 +68,7 @@
 		is.Equal(err, ErrFull)
 		time.Sleep(2 * time.Second)
 		is.True(held() > 1<<20)
-		admission.NotStored()
+		admission.NotStored(true)
 		sim.awaitCompleted(t, []string{"a"}, time.Minute)
 		is.True(held() > 0 && held() < 1<<20)
 		time.Sleep(2*o.lead.Bounds.EndedRetention + 3*purgeInterval)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -180,6 +180,8 @@
 	// may be negative.
 	Bounded bool  `json:"bounded,omitempty"`
 	Free    int64 `json:"free,omitempty"`
+	// Rebuilding means that the owner has not read the stored jobs yet, so that Free says nothing.
+	Rebuilding bool `json:"rebuilding,omitempty"`
 }
 
 // Bounds are the platform's limits that the owner relies on.
--- a/internal/leader/poll.go
+++ b/internal/leader/poll.go
@@ -15,7 +15,7 @@
 	}
 	return Pulse{
 		Owner: true, Epoch: o.epoch, AgeMs: o.commitAge().Milliseconds(), Version: o.committedVersion.Load(), Addr: l.Addr, Most: most,
-		Nodes: l.countPoll(), Stuck: o.turnedAway(l.now()), Bounded: o.budget.Limit > 0 && o.rebuilt.Load(), Free: o.budget.Left(),
+		Nodes: l.countPoll(), Stuck: o.turnedAway(l.now()), Bounded: o.budget.Limit > 0, Free: o.budget.Left(), Rebuilding: !o.rebuilt.Load(),
 	}
 }
 
