--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -163,6 +163,7 @@
 	status := func(conn net.Conn) int {
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		is.NoErr(err)
+		defer resp.Body.Close()
 		return resp.StatusCode
 	}
 	awaitHeld := func(n int64) {
@@ -184,7 +185,7 @@
 	resp, err := http.ReadResponse(bufio.NewReader(whole), nil)
 	is.NoErr(err)
 	n, err := io.Copy(io.Discard, resp.Body)
-	is.NoErr(err)
+	is.NoErr(errors.Join(err, resp.Body.Close()))
 	is.Equal(n, int64(16<<20))
 	awaitHeld(0) // the connection is open, and its reply has been sent
 	_ = whole.Close()
