test: a process that is to be stopped has stopped before the test goes on

Trace: the log of the old owner has all six jobs that are submitted after SIGSTOP, accepted by itself within 4 ms, and nothing for the 2 s after. So it stopped after them, for 2 s, which is less than its lease of 3 s: it rightly kept the cell. Otherwise these submits wait for the takeover, and the stop is longer than the lease. Cause: kill returns before all threads have stopped. Change: after SIGSTOP the test waits until /proc shows all threads as stopped. The checks and bounds are the same.

--- a/test/process_test.go
+++ b/test/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -178,6 +179,29 @@
 	if err := p.cmd.Process.Signal(s); err != nil {
 		t.Fatal(err)
 	}
+	if s == syscall.SIGSTOP {
+		p.awaitStopped(t)
+	}
+}
+
+// awaitStopped waits until all threads of the process have stopped. The system call that sends SIGSTOP returns before.
+func (p *nodeProcess) awaitStopped(t testing.TB) {
+	t.Helper()
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		running := slices.ContainsFunc(stats, func(path string) bool {
+			stat, err := os.ReadFile(path)
+			// The state follows the name of the thread, which is in parentheses.
+			return err == nil && !strings.Contains(string(stat), ") T ")
+		})
+		if len(stats) > 0 && !running {
+			return
+		}
+	}
+	t.Fatalf("process %s has not stopped", p.name)
 }
 
 // configure stores baseConfig, retrying for up to 20 s, and waits for an owner.
